--- /dev/null
+++ b/src/core/types.hpp
@@ -0,0 +1,219 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/time.hpp"
+
+namespace calicograde {
+
+using InfId = std::uint32_t;
+using TextKey = std::uint64_t;  // a session or a shared opening text; 0 = none
+
+struct EngineId {
+  std::array<std::uint8_t, 4> address{};
+  std::uint16_t port = 0;
+  auto operator<=>(const EngineId&) const = default;
+};
+
+enum class Stage { Read, Write, Both };
+enum class Effect { Retriable, Deduped, NonRetriable };
+enum class DedupeGroup { All, Zone, Rack };
+enum class Lifecycle { Ready, Draining, Gone };
+enum class ListScope { Delta, Full, Cached, Failed };
+enum class EndedAs { Completed, Errored, Full, TimedOut, ConnectFailed, Reset, Cancelled, Moot, ReadDone };
+
+// Proven by how a send ended, whatever engine it went to.
+constexpr bool proves_unrun(EndedAs e) {
+  return e == EndedAs::Full || e == EndedAs::ConnectFailed || e == EndedAs::Moot || e == EndedAs::ReadDone;
+}
+
+// Settings, as handed over at start.
+struct ModelRoute {
+  Span first_token_target;
+  Span target_per_1000_tokens;
+  Span route_timeout;
+  Span token_pace;
+  Effect effect = Effect::Retriable;
+  DedupeGroup dedupe_group = DedupeGroup::All;
+  Span dedupe_window;
+  double value = 1;
+  double late_value = 0;
+};
+
+struct EngineKind {
+  Stage stage = Stage::Both;
+  double memory_tokens = 0;  // 0 = not told
+};
+
+struct Settings {
+  std::vector<ModelRoute> routes;
+  std::vector<EngineKind> kinds;
+  int fronts = 1;
+  std::uint8_t zone = 0;
+  bool may_cancel = false;
+  bool may_probe = false;
+  bool may_hold_places = false;
+  bool second_copies = false;
+  bool retry_advice = false;
+  bool streams_resume = false;
+  bool writers_read = false;
+  bool list_must_be_asked = false;
+  bool sizes_told = false;  // weights in the list compare engines of a role
+  bool reports_by_probe_only = false;
+  int max_sends = 1;
+  Span max_retry_after;
+  Span pin_limit;
+  Span drain_grace;
+  Span cold;
+  double cold_from = 1;
+  double fall_multiple = 1;
+  Span fall;
+  Span ask_within;
+  double far_price = 0;
+  double zone_price = 0;
+  double late_price = 0;
+  double whole_weight = 1;
+  double worst_route_weight = 0;
+};
+
+// What happened.
+struct LoadReport {
+  std::optional<double> inferences_held;
+  std::optional<double> waiting;
+  std::optional<double> slots_busy;
+  std::optional<double> service_ms;
+  std::optional<double> completed_per_s;
+  std::optional<double> failed_per_s;
+  std::optional<double> memory_share;
+  std::optional<double> tokens_waiting;
+};
+
+struct EngineEntry {
+  EngineId engine;
+  std::optional<Instant> started;  // none = long ago
+  std::uint8_t kind = 0;
+  std::uint8_t zone = 0;
+  std::uint16_t rack = 0;
+  double size = 1;
+  Lifecycle lifecycle = Lifecycle::Ready;
+};
+
+struct Arrived {
+  InfId inf = 0;
+  std::uint16_t route = 0;
+  std::uint16_t customer = 0;
+  TextKey session = 0;
+  TextKey shared_text = 0;
+  Span budget;
+  std::optional<Span> answer_hint;
+  double prompt_tokens = 0;
+  double shared_tokens = 0;
+  double max_answer_tokens = 0;
+  bool repeat = false;
+  bool resumed = false;
+};
+struct StreamStarted {
+  InfId inf = 0;
+  std::uint8_t send = 0;
+  EngineId engine;
+  Span elapsed;
+};
+struct PlaceAnswered {
+  InfId inf = 0;
+  std::uint8_t send = 0;
+  EngineId engine;
+  bool held = false;
+};
+struct SendEnded {
+  InfId inf = 0;
+  std::uint8_t send = 0;
+  EngineId engine;
+  EndedAs as = EndedAs::Errored;
+  Span elapsed;
+  bool inference_over = false;
+  std::uint32_t kept_tokens = 0;
+  bool no_state = false;
+  std::optional<LoadReport> report;
+};
+struct ClientLeft {
+  InfId inf = 0;
+};
+struct FleetListed {
+  ListScope scope = ListScope::Delta;
+  std::uint64_t version = 0;
+  std::vector<EngineEntry> entries;
+};
+struct TimerFired {
+  std::uint64_t token = 0;
+};
+struct ProbeEnded {
+  EngineId engine;
+  EndedAs as = EndedAs::Errored;
+  Span elapsed;
+  std::optional<LoadReport> report;
+};
+struct PeerSpoke {
+  std::uint32_t from = 0;
+  std::string text;
+};
+using Event = std::variant<Arrived, StreamStarted, PlaceAnswered, SendEnded, ClientLeft, FleetListed, TimerFired,
+                           ProbeEnded, PeerSpoke>;
+
+// What is to be done.
+struct SendTo {
+  InfId inf = 0;
+  EngineId engine;
+  Span time_out;  // zero = until the client stops waiting
+};
+struct HoldPlace {
+  InfId inf = 0;
+  EngineId engine;
+};
+struct LetGo {
+  InfId inf = 0;
+};
+struct CancelSend {
+  InfId inf = 0;
+  std::uint8_t send = 0;
+};
+struct Shed {
+  InfId inf = 0;
+  Span retry_after;  // zero = no advice
+};
+struct Fail {
+  InfId inf = 0;
+};
+struct MoveStream {
+  InfId inf = 0;
+};
+struct SetTimer {
+  Span in;
+  std::uint64_t token = 0;
+};
+struct Probe {
+  EngineId engine;
+};
+struct CloseLinks {
+  EngineId engine;
+};
+struct Subscribe {
+  bool on = true;
+};
+struct FetchList {};
+struct TellPeer {
+  std::uint16_t to = 0;
+  std::string text;
+};
+struct Log {
+  std::string text;
+};
+using Action = std::variant<SendTo, HoldPlace, LetGo, CancelSend, Shed, Fail, MoveStream, SetTimer, Probe, CloseLinks,
+                            Subscribe, FetchList, TellPeer, Log>;
+
+}  // namespace calicograde
