--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -210,11 +210,11 @@
     const auto it = infs_.find(e.inf);
     if (it == infs_.end()) return;
     Inference& f = it->second;
-    if (f.place_at != e.engine || f.place_known) return;
+    if (!f.place_at || f.place_known) return;  // the answer rides on the read; it names the reader, not the place
     f.place_known = true;
     f.place_held = e.held;
-    sign_of_life(e.engine);
-    if (Engine* eng = engine(e.engine); eng && !e.held) eng->full_until = now_ + full_memory;
+    sign_of_life(*f.place_at);
+    if (Engine* eng = engine(*f.place_at); eng && !e.held) eng->full_until = now_ + full_memory;
   }
 
   void on(const SendEnded& e) {
@@ -235,8 +235,9 @@
       over(*f);
     }
     if (f->phase == Phase::Over) {
-      // Rule 5: a read that outlives its inference leaves a state behind. Also covers cancels that cross.
-      if (s->to_reader) out_.push_back(LetGo{e.inf});
+      // Rule 5: what a send still waited for is not let go with its inference, only after the send. Covers reads
+      // that outlive their inference, cancels that cross an outcome, and writers that fail before the fetch.
+      out_.push_back(LetGo{e.inf});
       tidy(e.inf);
       return;
     }
@@ -404,7 +405,7 @@
       for (auto& [id, eng] : engines_) {
         if (!may_write(eng) || !usable(f, id, eng, any)) continue;
         const bool booked = f.writer == id;
-        const bool refused = f.place_at == id && !f.place_held;
+        const bool refused = f.place_at == id && f.place_known && !f.place_held;
         if (!any && booked && !refused && !eng.doubted) {
           best = id;
           best_cost = -1;
@@ -451,7 +452,7 @@
 
   void back_to_queue(Inference& f) {
     unbook(f);
-    if (f.state_at || f.place_at) out_.push_back(LetGo{f.what.inf});
+    out_.push_back(LetGo{f.what.inf});  // a failed writer may still hold a place that nothing here remembers
     f.state_at.reset();
     f.place_at.reset();
     f.phase = Phase::Waiting;
