--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -165,6 +165,8 @@
       timer_set_ = true;
       out_.push_back(SetTimer{tick, 0});
     }
+    for (InfId id : std::exchange(ended_, {}))
+      if (const auto it = infs_.find(id); it != infs_.end() && !it->second.any_out()) infs_.erase(it);
     return std::exchange(out_, {});
   }
 
@@ -286,10 +288,7 @@
     timer_set_ = false;
     if (s_.list_must_be_asked && (!asked_ || now_ - asked_at_ > s_.ask_within * 0.5)) ask_for_list();
     for (auto& [id, eng] : engines_) watch(id, eng);
-    std::vector<InfId> ids;
-    for (const auto& [id, f] : infs_) ids.push_back(id);
-    for (InfId id : ids)
-      if (const auto it = infs_.find(id); it != infs_.end()) look_after(it->second);
+    for (auto& [id, f] : infs_) look_after(f);
   }
 
   void on(const ProbeEnded& e) {
@@ -311,9 +310,7 @@
     std::sort(line.begin(), line.end());
     int blocked = 0;
     for (const auto& [rank, id] : line) {
-      const auto it = infs_.find(id);
-      if (it == infs_.end()) continue;
-      Inference& f = it->second;
+      Inference& f = infs_.at(id);
       if (!may_send(f)) {
         if (!f.any_out()) finish(f, Span{});
         continue;
@@ -694,10 +691,7 @@
     f.place_at.reset();
   }
 
-  void tidy(InfId id) {
-    const auto it = infs_.find(id);
-    if (it != infs_.end() && it->second.phase == Phase::Over && !it->second.any_out()) infs_.erase(it);
-  }
+  void tidy(InfId id) { ended_.push_back(id); }  // erased when the event has been dealt with
 
   void unbook(Inference& f) {
     for (auto& [id, e] : engines_) {
@@ -744,7 +738,7 @@
   }
 
   void watch(const EngineId& id, Engine& e) {
-    if (e.lifecycle == Lifecycle::Gone) return;
+    if (e.lifecycle != Lifecycle::Ready) return;
     double work = 0;
     for (const auto& [key, at] : e.awaited) work = std::max(work, find(key.first, key.second).second->work);
     const Span usual = patience(e) + Span::from_seconds(work / rate(e.entry.kind));
@@ -902,7 +896,7 @@
     }
     if (!on_time) return;
     for (InfId id : late)
-      if (const auto it = infs_.find(id); it != infs_.end() && !it->second.any_out()) finish(it->second, advice());
+      if (!infs_.at(id).any_out()) finish(infs_.at(id), advice());
   }
 
   // When to come back: spread over what clients heed, so that those turned away do not return together.
@@ -975,6 +969,7 @@
   LastFew near_moves_;
   std::map<std::uint8_t, double> rates_;
   Instant rates_at_;
+  std::vector<InfId> ended_;
   std::vector<Action> out_;
 };
 
