--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -34,7 +34,8 @@
 constexpr Span report_life = Span::millis(3000);
 constexpr std::size_t samples_kept = 16;
 constexpr double read_weight = 1.0;        // of prompt tokens still to read, against tokens booked
-constexpr double writer_memory_bound = 0.9;
+constexpr double writer_memory_bound = 0.9;  // where a report tells of it
+constexpr double unseen_memory_bound = 1.4;  // own load times fronts: fronts are unevenly busy, full answers tell
 constexpr double reader_wait_bound = 0.5;  // of the smallest first-token target
 constexpr double writer_seconds = 1.0;     // what a writer's full memory costs, against seconds of reading
 constexpr double far_seconds = 5.0;        // what the price of a move to another rack costs, likewise
@@ -480,7 +481,8 @@
     if (e.full_until > now_) return true;
     if (fresh(e) && e.report->waiting && *e.report->waiting >= 1) return true;
     if (e.writing.empty() && !(fresh(e) && e.report->memory_share)) return false;
-    return writer_load(e) + need > writer_memory_bound * memory(e);
+    const bool told = fresh(e) && e.report->memory_share;
+    return writer_load(e) + need > (told ? writer_memory_bound : unseen_memory_bound) * memory(e);
   }
 
   bool reader_full(const Engine& e, double need) {
@@ -942,11 +944,16 @@
     state = now_on;
     if (now_ - mode_said_ < Span::millis(2000)) return;
     mode_said_ = now_;
-    int waiting = 0;
-    for (const auto& [id, f] : infs_) waiting += f.phase == Phase::Waiting ? 1 : 0;
-    char text[96];
-    std::snprintf(text, sizeof text, "%s %s: %d waiting of %zu open", what, now_on ? "on" : "off", waiting,
-                  infs_.size());
+    int waiting = 0, readers = 0;
+    for (const auto& [id, f] : infs_)
+      if (f.phase == Phase::Waiting) ++waiting, readers += f.waits_for == Stage::Read ? 1 : 0;
+    double load = 0, backlog = 0;
+    for (auto& [id, e] : engines_)
+      if (may_write(e)) load = std::max(load, writer_load(e) / memory(e));
+      else backlog = std::max(backlog, Engine::sum(e.reading) / rate(e.entry.kind));
+    char text[160];
+    std::snprintf(text, sizeof text, "%s %s: %d waiting (%d for a reader); fullest writer %.2f, longest read %.2f s",
+                  what, now_on ? "on" : "off", waiting, readers, load, backlog);
     out_.push_back(Log{text});
   }
 
