--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -40,7 +40,7 @@
 constexpr double writer_seconds = 1.0;     // what a writer's full memory costs, against seconds of reading
 constexpr double far_seconds = 5.0;        // what the price of a move to another rack costs, likewise
 constexpr double cold_share = 0.7;         // of the cold budget that is used
-constexpr double silence_factor = 3.0;
+constexpr double silence_factor = 6.0;
 constexpr double no_rate = 10000.0;        // tokens a second, until a read has been seen
 
 struct Sample {
@@ -736,7 +736,7 @@
     for (double g : gaps) mean += g / static_cast<double>(gaps.size());
     for (double g : gaps) square += (g - mean) * (g - mean) / static_cast<double>(gaps.size());
     const double most = *std::max_element(gaps.begin(), gaps.end());
-    return Span::from_seconds(std::max(most * 1.5, mean + silence_factor * std::sqrt(square)) + 0.05);
+    return Span::from_seconds(std::max(most * 2, mean + silence_factor * std::sqrt(square)) + 0.2);
   }
 
   void watch(const EngineId& id, Engine& e) {
