--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -36,11 +36,12 @@
 constexpr double read_weight = 1.0;        // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;  // where a report tells of it
 constexpr double unseen_memory_bound = 1.4;  // own load times fronts: fronts are unevenly busy, full answers tell
-constexpr double reader_wait_bound = 0.5;  // of the smallest first-token target
+constexpr double reader_wait_bound = 1.0;  // own reads, of the smallest first-token target
 constexpr double writer_seconds = 1.0;     // what a writer's full memory costs, against seconds of reading
 constexpr double far_seconds = 5.0;        // what the price of a move to another rack costs, likewise
 constexpr double cold_share = 0.7;         // of the cold budget that is used
 constexpr double silence_factor = 6.0;
+constexpr double read_overhead = 500;      // a read's fixed part, in tokens
 constexpr double no_rate = 10000.0;        // tokens a second, until a read has been seen
 
 struct Sample {
@@ -488,8 +489,8 @@
   bool reader_full(const Engine& e, double need) {
     if (e.full_until > now_) return true;
     if (e.reading.empty()) return false;
-    const double tokens = Engine::sum(e.reading) * s_.fronts;
-    if (e.entry.kind < s_.kinds.size() && memory(e) > 0 && tokens + need > memory(e)) return true;
+    const double tokens = Engine::sum(e.reading);
+    if (tokens * s_.fronts + need > memory(e)) return true;
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * reader_wait_bound;
   }
 
@@ -788,7 +789,7 @@
     sign_of_life(s.engine);
     if (eng->doubted) eng->trial_out = false, eng->next_trial = now_;
     if (eng->doubted && bad < 0.25 * all) trust(s.engine, *eng);
-    if (e.as == EndedAs::ReadDone) eng->pace.add(now_, e.elapsed.seconds() / std::max(200.0, s.work));
+    if (e.as == EndedAs::ReadDone) eng->pace.add(now_, e.elapsed.seconds() / (s.work + read_overhead));
   }
 
   void note_first_token(const Inference& f, const Send& s, Span elapsed) {
