--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -36,7 +36,7 @@
 constexpr double read_weight = 1.0;        // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;  // where a report tells of it
 constexpr double unseen_memory_bound = 1.4;  // own load times fronts: fronts are unevenly busy, full answers tell
-constexpr double reader_wait_bound = 1.0;  // own reads, of the smallest first-token target
+constexpr double reader_wait_bound = 0.5;  // of the smallest first-token target
 constexpr double writer_seconds = 1.0;     // what a writer's full memory costs, against seconds of reading
 constexpr double far_seconds = 5.0;        // what the price of a move to another rack costs, likewise
 constexpr double cold_share = 0.7;         // of the cold budget that is used
@@ -489,8 +489,13 @@
   bool reader_full(const Engine& e, double need) {
     if (e.full_until > now_) return true;
     if (e.reading.empty()) return false;
-    const double tokens = Engine::sum(e.reading);
-    if (tokens * s_.fronts + need > memory(e)) return true;
+    // Other fronts' reads are unseen: each is taken to have the mean of what this front has at such engines.
+    double mean = 0, peers = 0;
+    for (auto& [id, other] : engines_)
+      if (other.entry.kind == e.entry.kind && other.lifecycle == Lifecycle::Ready)
+        mean += Engine::sum(other.reading), peers += 1;
+    const double tokens = Engine::sum(e.reading) + (s_.fronts - 1) * mean / std::max(1.0, peers);
+    if (tokens + need > memory(e)) return true;
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * reader_wait_bound;
   }
 
