--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -488,7 +488,8 @@
 
   bool reader_full(const Engine& e, double need) {
     if (e.full_until > now_) return true;
-    if (e.reading.empty()) return false;
+    // One long read does not fill a reader that works on several at once.
+    if (e.reading.size() < (stage(e) == Stage::Read ? 2 : 1)) return false;
     // Other fronts' reads are unseen: each is taken to have the mean of what this front has at such engines.
     double mean = 0, peers = 0;
     for (auto& [id, other] : engines_)
