--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -67,12 +67,13 @@
   std::deque<Sample> samples_;
 };
 
-double median(std::vector<double> v, double absent) {
+double quantile(std::vector<double> v, double part, double absent) {
   if (v.empty()) return absent;
-  const auto mid = v.begin() + static_cast<std::ptrdiff_t>(v.size() / 2);
-  std::nth_element(v.begin(), mid, v.end());
-  return *mid;
+  const auto at = v.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(v.size()) * part);
+  std::nth_element(v.begin(), at, v.end());
+  return *at;
 }
+double median(std::vector<double> v, double absent) { return quantile(std::move(v), 0.5, absent); }
 
 struct Kept {
   double tokens;
@@ -488,8 +489,7 @@
 
   bool reader_full(const Engine& e, double need) {
     if (e.full_until > now_) return true;
-    // One long read does not fill a reader that works on several at once.
-    if (e.reading.size() < (stage(e) == Stage::Read ? 2 : 1)) return false;
+    if (e.reading.empty()) return false;
     // Other fronts' reads are unseen: each is taken to have the mean of what this front has at such engines.
     double mean = 0, peers = 0;
     for (auto& [id, other] : engines_)
@@ -546,14 +546,15 @@
     if (e.kept.size() > 4096) std::erase_if(e.kept, [&](const auto& k) { return k.second.touched < e.kept_since; });
   }
 
-  // Tokens a second that readers of a kind were lately seen to reach.
+  // Tokens a second that readers of a kind were lately seen to reach where little stood in the way: the median
+  // would count the queues of other fronts as slow reading, and hold ever more the longer they get.
   double rate(std::uint8_t kind) {
     if (rates_at_ != now_) rates_.clear(), rates_at_ = now_;
     if (const auto it = rates_.find(kind); it != rates_.end()) return it->second;
     std::vector<double> all;
     for (auto& [id, e] : engines_)
       if (e.entry.kind == kind) e.pace.pour(now_ - sample_life, all);
-    return rates_[kind] = 1.0 / median(std::move(all), 1.0 / no_rate);
+    return rates_[kind] = 1.0 / quantile(std::move(all), 0.25, 1.0 / no_rate);
   }
 
   double slowness(const Engine& e) {
