--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -124,7 +124,7 @@
 
 struct Inference {
   Arrived what;
-  Instant arrived, target, ends;
+  Instant arrived, target, ends, booked_at;
   double answer_tokens = 0;
   Phase phase = Phase::Waiting;
   Stage waits_for = Stage::Both;
@@ -198,6 +198,7 @@
     no_longer_awaited(e.inf, e.send, *s);
     s->started = true;
     note_first_token(*f, *s, e.elapsed);
+    to_first_.add(now_, (now_ - f->booked_at).seconds());
     if (f->phase == Phase::Over) return;
     count_served(*f, now_ <= f->target ? 1.0 : 0.0);
     f->phase = Phase::Streaming;
@@ -375,6 +376,7 @@
     f.state_at.reset();
     f.place_at.reset();
     f.phase = own ? Phase::Answering : Phase::Reading;
+    f.booked_at = now_;
     send(f, p.reader, !own);
     if (!own && s_.may_hold_places) hold_place(f, p.writer);
     return true;
@@ -867,7 +869,10 @@
     for (auto& [id, e] : engines_)
       if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e))
         least = std::min(least, to_read(f, e) / rate(e.entry.kind));
-    return std::isfinite(least) ? Span::from_seconds(least) + Span::millis(50) : Span::millis(50);
+    std::vector<double> seen;
+    to_first_.pour(now_ - sample_life, seen);
+    const double usual = quantile(std::move(seen), 0.75, 0.05);
+    return Span::from_seconds(std::max(usual, std::isfinite(least) ? least + 0.05 : 0.05));
   }
 
   // Worth per unit of work that one more answer on this route adds, the worst-served route counted as priced.
@@ -981,7 +986,7 @@
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;
   std::map<std::uint16_t, LastFew> far_moves_;
-  LastFew near_moves_;
+  LastFew near_moves_, to_first_;
   std::map<std::uint8_t, double> rates_;
   Instant rates_at_;
   std::vector<InfId> ended_;
