Queues by worth per token that the scarce role must still do; needed time from the cheapest read

Now what a reader mostly keeps goes first, and what is late is judged by the read it would get. It could starve sessions that nobody keeps, in long overload.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -42,6 +42,7 @@
 constexpr double cold_share = 0.7;         // of the cold budget that is used
 constexpr double silence_factor = 6.0;
 constexpr double read_overhead = 500;      // a read's fixed part, in tokens
+constexpr double answer_work = 8;          // work of an answered token, in tokens read
 constexpr double no_rate = 10000.0;        // tokens a second, until a read has been seen
 
 struct Sample {
@@ -124,7 +125,7 @@
 
 struct Inference {
   Arrived what;
-  Instant arrived, target, ends, booked_at;
+  Instant arrived, target, ends;
   double answer_tokens = 0;
   Phase phase = Phase::Waiting;
   Stage waits_for = Stage::Both;
@@ -198,7 +199,7 @@
     no_longer_awaited(e.inf, e.send, *s);
     s->started = true;
     note_first_token(*f, *s, e.elapsed);
-    to_first_.add(now_, (now_ - f->booked_at).seconds());
+    if (f->state_at) after_read_.add(now_, e.elapsed.seconds());
     if (f->phase == Phase::Over) return;
     count_served(*f, now_ <= f->target ? 1.0 : 0.0);
     f->phase = Phase::Streaming;
@@ -376,7 +377,6 @@
     f.state_at.reset();
     f.place_at.reset();
     f.phase = own ? Phase::Answering : Phase::Reading;
-    f.booked_at = now_;
     send(f, p.reader, !own);
     if (!own && s_.may_hold_places) hold_place(f, p.writer);
     return true;
@@ -864,18 +864,18 @@
 
   // --- order and shedding ---
 
+  // Until its first token, if it were booked now: the cheapest read, and what lately came after reads.
   Span needed(const Inference& f) {
     double least = std::numeric_limits<double>::infinity();
     for (auto& [id, e] : engines_)
-      if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e))
-        least = std::min(least, to_read(f, e) / rate(e.entry.kind));
-    std::vector<double> seen;
-    to_first_.pour(now_ - sample_life, seen);
-    const double usual = quantile(std::move(seen), 0.75, 0.05);
-    return Span::from_seconds(std::max(usual, std::isfinite(least) ? least + 0.05 : 0.05));
+      if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e)) least = std::min(least, reader_cost(f, e));
+    std::vector<double> after;
+    after_read_.pour(now_ - sample_life, after);
+    return Span::from_seconds((std::isfinite(least) ? least : 0.0) + quantile(std::move(after), 0.75, 0.05));
   }
 
-  // Worth per unit of work that one more answer on this route adds, the worst-served route counted as priced.
+  // Worth per unit of the scarce role's work: what is mostly kept already costs a reader little. The worst-served
+  // route counts as priced; what can no longer be in time counts for its late value.
   double urgency(const Inference& f) {
     double worth = s_.whole_weight * route(f.what).value;
     const std::size_t own = index(f.what);
@@ -885,10 +885,16 @@
         if (share_served(k) < share_served(worst) - 0.02) worst = k;
       if (worst == own) worth += s_.worst_route_weight * 2;
     }
-    const bool late = now_ + needed(f) > f.target;
+    if (now_ + needed(f) > f.target) worth *= route(f.what).late_value;
     if (f.what.resumed) worth *= 2;
-    const double left = (f.target - now_).seconds() / std::max(0.001, (f.target - f.arrived).seconds());
-    return worth * (late ? route(f.what).late_value : 1.0) - 0.01 * left;
+    double cost = f.what.prompt_tokens + f.answer_tokens;
+    if (f.waits_for == Stage::Read) {
+      cost = f.what.prompt_tokens;
+      for (auto& [id, e] : engines_)
+        if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e)) cost = std::min(cost, to_read(f, e));
+      cost += read_overhead;
+    }
+    return worth * (f.what.prompt_tokens + answer_work * f.answer_tokens) / std::max(1.0, cost);
   }
 
   double share_served(std::size_t k) const {
@@ -986,7 +992,7 @@
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;
   std::map<std::uint16_t, LastFew> far_moves_;
-  LastFew near_moves_, to_first_;
+  LastFew near_moves_, after_read_;
   std::map<std::uint8_t, double> rates_;
   Instant rates_at_;
   std::vector<InfId> ended_;
