--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,15 +1,15 @@
 // The decisions of one front. Router::handle (src/routing/router.hpp, types in src/core/types.hpp) takes one
 // thing that happened and returns what is to be done; between calls nothing runs.
 //
-// The ordinary path is the design of docs/design.md: reader and writer scored together at arrival, a ledger per
-// role, an ageing table of kept texts per reader, commit or undo of the pair, a queue per role before the read.
-// Beside it stand these mechanisms, and no others:
-//   1. doubt      an engine unusually silent, or failing, gets only single trials until it answers again
-//   2. rescue     what a doubted engine has not begun is sent to another one, within the rules of its model route
-//   3. slowness   an engine's cost grows by its pace against its peers; so does that of a slow rack link
-//   4. cold       a fresh engine counts dearer and its sends are spaced out, by what its peers are sent
-//   5. places     a place is held ahead at the booked writer; the answer tells if it is full or silent
-//   6. order      queues are served by worth per work; what would be late makes way while others wait
+// The ordinary path is the design of docs/design.md: reader and writer scored together at arrival, a ledger
+// per role, an ageing table of kept texts per reader, commit or undo of the pair, a queue per role before
+// the read. Beside it stand these mechanisms, and no others:
+//   1. doubt     an engine unusually silent, or failing, gets single trials only until it answers again
+//   2. rescue    what a doubted engine has not begun goes to another one, as its model route allows
+//   3. slowness  an engine costs more by its pace against its peers, a rack's link by what moves lately took
+//   4. cold      a fresh engine counts dearer, and its sends are spaced by what its warm peers are sent
+//   5. places    a place is held ahead at the booked writer; the answer tells whether it is full
+//   6. order     queues go by worth per work of the scarce role; the late make way while others wait
 #include "routing/router.hpp"
 
 #include <algorithm>
@@ -32,49 +32,62 @@
 constexpr Span full_memory = Span::millis(250);    // how long a full answer counts as recent
 constexpr Span trial_every = Span::millis(1000);
 constexpr Span report_life = Span::millis(3000);
+constexpr Span rate_window = Span::millis(8000);  // over which sends to warm peers are counted
 constexpr std::size_t samples_kept = 16;
-constexpr double read_weight = 1.0;        // of prompt tokens still to read, against tokens booked
-constexpr double writer_memory_bound = 0.9;  // where a report tells of it
-constexpr double unseen_memory_bound = 1.4;  // own load times fronts: fronts are unevenly busy, full answers tell
-constexpr double reader_wait_bound = 0.5;  // of the smallest first-token target
-constexpr double writer_seconds = 1.0;     // what a writer's full memory costs, against seconds of reading
-constexpr double far_seconds = 5.0;        // what the price of a move to another rack costs, likewise
-constexpr double cold_share = 0.7;         // of the cold budget that is used
-constexpr double silence_factor = 6.0;
-constexpr double read_overhead = 500;      // a read's fixed part, in tokens
-constexpr double answer_work = 8;          // work of an answered token, in tokens read
-constexpr double no_rate = 10000.0;        // tokens a second, until a read has been seen
-
-struct Sample {
-  Instant at;
-  double value;
-};
+constexpr std::size_t sends_kept = 256;
+constexpr std::size_t texts_kept = 4096;
+constexpr double read_weight = 1.0;           // of prompt tokens still to read, against tokens booked
+constexpr double writer_memory_bound = 0.9;   // where a report tells of it
+constexpr double unseen_memory_bound = 1.4;   // own load times fronts: fronts are unevenly busy, full answers tell
+constexpr double reader_wait_bound = 0.5;     // of the smallest first-token target
+constexpr double writer_seconds = 1.0;        // what a writer's full memory costs, against seconds of reading
+constexpr double far_seconds = 5.0;           // what the price of a move to another rack costs, likewise
+constexpr double cold_share = 0.7;            // of the cold budget that is used
+constexpr double cold_least = 0.3;            // sends in the fall window, all fronts, where no peer shows more
+constexpr double silence_deviations = 6.0;
+constexpr double failing_share = 0.25;
+constexpr double read_overhead = 500;         // a read's fixed part, in tokens
+constexpr double answer_work = 8;             // work of an answered token, in tokens read
+constexpr double no_rate = 10000;             // tokens a second, until a read has been seen
+constexpr double no_memory = 200000;          // tokens, where settings do not tell
+constexpr double never = std::numeric_limits<double>::infinity();
+
+double quantile(std::vector<double> v, double part, double absent) {
+  if (v.empty()) return absent;
+  const auto at = v.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(v.size()) * part);
+  std::nth_element(v.begin(), at, v.end());
+  return *at;
+}
+double sum(const std::vector<double>& v) { return std::accumulate(v.begin(), v.end(), 0.0); }
 
 // The last few samples themselves; figures are worked out when asked for.
 class LastFew {
  public:
   void add(Instant at, double value) {
-    samples_.push_back({at, value});
+    samples_.emplace_back(at, value);
     if (samples_.size() > samples_kept) samples_.pop_front();
   }
   void clear() { samples_.clear(); }
-  std::size_t size() const { return samples_.size(); }
   void pour(Instant since, std::vector<double>& out) const {
-    for (const auto& s : samples_)
-      if (s.at >= since) out.push_back(s.value);
+    for (const auto& [at, value] : samples_)
+      if (at >= since) out.push_back(value);
+  }
+  std::vector<double> since(Instant at) const {
+    std::vector<double> out;
+    pour(at, out);
+    return out;
   }
 
  private:
-  std::deque<Sample> samples_;
+  std::deque<std::pair<Instant, double>> samples_;
 };
 
-double quantile(std::vector<double> v, double part, double absent) {
-  if (v.empty()) return absent;
-  const auto at = v.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(v.size()) * part);
-  std::nth_element(v.begin(), at, v.end());
-  return *at;
+using Ledger = std::map<InfId, double>;  // tokens booked, by inference
+double booked(const Ledger& ledger) {
+  double tokens = 0;
+  for (const auto& [inf, t] : ledger) tokens += t;
+  return tokens;
 }
-double median(std::vector<double> v, double absent) { return quantile(std::move(v), 0.5, absent); }
 
 struct Kept {
   double tokens;
@@ -83,89 +96,75 @@
 
 struct Engine {
   EngineEntry entry;
-  Lifecycle lifecycle = Lifecycle::Ready;
-  std::map<InfId, double> reading, writing;  // the two ledgers: tokens booked by inference
-  std::map<TextKey, Kept> kept;              // prefix table
-  Instant kept_since;                        // texts last touched before this are taken to be gone
-  LastFew gaps, pace, first_token;
-  LastFew failures;  // 1 failed, 0 not
+  Lifecycle lifecycle = Lifecycle::Gone;
+  Ledger reading, writing;
+  std::map<TextKey, Kept> kept;  // prefix table
+  Instant kept_since;            // texts last touched before this are taken to be gone
+  LastFew gaps, pace, first_token, failures;
   std::deque<Instant> sends;
   std::map<std::pair<InfId, std::size_t>, Instant> awaited;  // sends not begun, by when they were sent
-  Instant quiet_since;
-  Instant full_until;
-  bool doubted = false;
-  bool trial_out = false;
-  Instant next_trial;
-  Instant cold_since;  // start, or return after its process was lost
-  bool cold = false;
+  Instant last_sign, full_until, next_trial, cold_since, report_at;
+  bool cold = false, doubted = false, silent = false, trial_out = false;
   std::optional<LoadReport> report;
-  Instant report_at;
   double booked_at_report = 0;
-
-  static double sum(const std::map<InfId, double>& ledger) {
-    double t = 0;
-    for (const auto& [inf, tokens] : ledger) t += tokens;
-    return t;
-  }
 };
 
 struct Send {
   EngineId engine;
   Instant at;
   bool to_reader = false;
-  bool out = true;
-  bool started = false;
-  bool cancelled = false;
-  bool ran = true;     // may have run; false once proven otherwise
-  double work = 0;     // tokens that must be read before it can end, those booked ahead of it included
-  bool far = false;
+  bool far = false;  // the state comes from another rack
+  bool out = true, started = false, cancelled = false;
+  bool ran = true;  // may have run; false once proven otherwise
+  double work = 0;  // tokens to be read before it can end, those booked ahead of it included
 };
 
 enum class Phase { Waiting, Reading, Handing, Answering, Streaming, Over };
 
 struct Inference {
   Arrived what;
-  Instant arrived, target, ends;
+  Instant target, ends, held_since;
   double answer_tokens = 0;
   Phase phase = Phase::Waiting;
-  Stage waits_for = Stage::Both;
-  std::optional<EngineId> reader, writer, state_at, place_at;
-  bool place_known = false;  // the place asked for was answered
-  bool place_held = false;
-  Instant held_since;
+  Stage waits_for = Stage::Read;
+  std::optional<EngineId> writer, state_at, place_at;
+  std::optional<bool> place_held;  // none until the place asked for was answered
   std::vector<Send> sends;
   std::set<EngineId> failed_at;
+
+  double whole() const { return what.prompt_tokens + answer_tokens; }
+  template <class Which>
+  bool any(Which which) const {
+    return std::any_of(sends.begin(), sends.end(), which);
+  }
   bool any_out() const {
-    return std::any_of(sends.begin(), sends.end(), [](const Send& s) { return s.out; });
+    return any([](const Send& s) { return s.out; });
+  }
+  bool out_at(bool reader) const {
+    return any([&](const Send& s) { return s.out && !s.cancelled && s.to_reader == reader; });
   }
-};
-
-struct Pair {
-  EngineId reader, writer;
-  double cost = 0;
 };
 
 }  // namespace
 
 class Router::Desk {
  public:
-  Desk(std::uint64_t seed, const Settings& settings) : s_(settings), random_(static_cast<std::uint32_t>(seed)) {
-    smallest_target_ = Span::millis(1000);
+  Desk(std::uint64_t seed, const Settings& settings)
+      : s_(settings), random_(static_cast<std::uint32_t>(seed)), served_(settings.routes.size()) {
+    smallest_target_ = s_.routes.empty() ? Span::millis(1000) : s_.routes[0].first_token_target;
     for (const auto& r : s_.routes) smallest_target_ = std::min(smallest_target_, r.first_token_target);
-    served_.resize(s_.routes.size());
   }
 
   std::vector<Action> handle(Instant now, const Event& event) {
     now_ = now;
-    if (!begun_) {
-      begun_ = true;
+    if (!begun_at_) {
       begun_at_ = now;
       if (s_.list_must_be_asked) ask_for_list();
     }
     std::visit([this](const auto& e) { on(e); }, event);
     // While some wait, an arrival joins them; only what may have freed a place serves the queues again.
     if (!holding_ || !std::holds_alternative<Arrived>(event)) admit();
-    if (!timer_set_ && !infs_.empty()) {
+    if (!timer_set_ && (!infs_.empty() || s_.list_must_be_asked)) {
       timer_set_ = true;
       out_.push_back(SetTimer{tick, 0});
     }
@@ -179,32 +178,27 @@
 
   void on(const Arrived& a) {
     if (infs_.contains(a.inf) || s_.routes.empty()) return;
-    Inference f;
-    f.what = a;
     const ModelRoute& r = route(a);
-    f.arrived = now_;
-    f.target = now_ + r.first_token_target + r.target_per_1000_tokens * (a.prompt_tokens / 1000.0);
+    Inference& f = infs_[a.inf];
+    f.what = a;
+    f.target = now_ + r.first_token_target + r.target_per_1000_tokens * (a.prompt_tokens / 1000);
     f.ends = now_ + a.budget;
     f.answer_tokens = a.max_answer_tokens / 2;
     if (a.answer_hint && r.token_pace > Span{})
       f.answer_tokens = std::clamp(*a.answer_hint / r.token_pace, 1.0, std::max(1.0, a.max_answer_tokens));
-    Inference& kept = infs_.emplace(a.inf, std::move(f)).first->second;
-    if (a.budget <= answer_margin + tick) finish(kept, Span{});
+    if (a.budget <= answer_margin + tick) finish(f);
   }
 
   void on(const StreamStarted& e) {
     auto [f, s] = find(e.inf, e.send);
     if (!s || !s->out) return;
     sign_of_life(s->engine);
-    no_longer_awaited(e.inf, e.send, *s);
+    if (Engine* eng = engine(s->engine)) eng->awaited.erase({e.inf, e.send});
     s->started = true;
-    note_first_token(*f, *s, e.elapsed);
-    if (f->state_at) after_read_.add(now_, e.elapsed.seconds());
     if (f->phase == Phase::Over) return;
-    count_served(*f, now_ <= f->target ? 1.0 : 0.0);
+    note_first_token(*f, *s, e.elapsed);
+    count_served(*f, now_ <= f->target);
     f->phase = Phase::Streaming;
-    f->state_at.reset();
-    f->place_at.reset();
     for (auto& other : f->sends)
       if (&other != s) cancel(*f, other);
     for (auto& [id, eng] : engines_) {
@@ -215,13 +209,10 @@
 
   void on(const PlaceAnswered& e) {
     const auto it = infs_.find(e.inf);
-    if (it == infs_.end()) return;
-    Inference& f = it->second;
-    if (!f.place_at || f.place_known) return;  // the answer rides on the read; it names the reader, not the place
-    f.place_known = true;
-    f.place_held = e.held;
-    sign_of_life(*f.place_at);
-    if (Engine* eng = engine(*f.place_at); eng && !e.held) eng->full_until = now_ + full_memory;
+    if (it == infs_.end() || !it->second.place_at || it->second.place_held) return;
+    it->second.place_held = e.held;  // the answer rides on the read; it names the reader, not the place
+    sign_of_life(*it->second.place_at);
+    if (Engine* eng = engine(*it->second.place_at); eng && !e.held) eng->full_until = now_ + full_memory;
   }
 
   void on(const SendEnded& e) {
@@ -229,223 +220,192 @@
     if (Engine* eng = engine(e.engine); eng && e.report) take_report(*eng, *e.report);
     if (!s || !s->out) return;
     s->out = false;
-    if (proves_unrun(e.as)) s->ran = false;
-    if (s->to_reader) s->ran = false;
-    judge(*s, e);
-    no_longer_awaited(e.inf, e.send, *s);
+    if (proves_unrun(e.as) || s->to_reader) s->ran = false;
     if (Engine* eng = engine(s->engine)) {
-      if (s->to_reader) eng->reading.erase(e.inf);
-      else if (f->writer == s->engine || !f->writer) eng->writing.erase(e.inf), eng->reading.erase(e.inf);
-    }
-    if (e.inference_over && f->phase != Phase::Over) {
-      if (f->phase != Phase::Streaming) count_served(*f, 0);
-      over(*f);
+      judge(s->engine, *eng, *s, e);
+      eng->awaited.erase({e.inf, e.send});
+      eng->reading.erase(e.inf);
+      if (!s->to_reader) eng->writing.erase(e.inf);
     }
+    if (e.inference_over && f->phase != Phase::Over) over(*f);
     if (f->phase == Phase::Over) {
-      // Rule 5: what a send still waited for is not let go with its inference, only after the send. Covers reads
-      // that outlive their inference, cancels that cross an outcome, and writers that fail before the fetch.
+      // Rule 5: what a send still waited for is not let go with its inference, only after the send. Covers
+      // reads that outlive their inference, cancels that cross an outcome, writers failing before the fetch.
       out_.push_back(LetGo{e.inf});
-      tidy(e.inf);
+      ended_.push_back(e.inf);
       return;
     }
     if (f->phase == Phase::Streaming) return;
     f->held_since = now_;
     if (e.as == EndedAs::ReadDone) read_done(*f, *s, e);
-    else if (e.as == EndedAs::Moot) finish(*f, Span{});
+    else if (e.as == EndedAs::Moot) finish(*f);
     else if (s->to_reader) read_failed(*f, *s);
     else write_failed(*f, *s, e);
   }
 
   void on(const ClientLeft& e) {
-    const auto it = infs_.find(e.inf);
-    if (it == infs_.end() || it->second.phase == Phase::Over) return;
-    count_served(it->second, 0);
-    over(it->second);
-    tidy(e.inf);
+    if (const auto it = infs_.find(e.inf); it != infs_.end() && it->second.phase != Phase::Over) over(it->second);
   }
 
   void on(const FleetListed& e) {
-    if (e.scope == ListScope::Failed) {
-      asked_ = false;
-      return;
-    }
+    if (e.scope == ListScope::Failed) asked_ = false;
+    if (e.scope == ListScope::Failed) return;
     asked_at_ = now_;
     std::set<EngineId> named;
     for (const auto& entry : e.entries) {
       named.insert(entry.engine);
       Engine& eng = engines_[entry.engine];
       if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
-        // A restart under the same id: nothing learnt before holds any more.
+        // A restart under the same id, or a return: nothing learnt before holds any more.
         eng = Engine{};
-        eng.cold_since = entry.started.value_or(Instant{});
         eng.cold = entry.started.has_value();
-        eng.quiet_since = now_;
+        eng.cold_since = entry.started.value_or(Instant{});
       }
       eng.entry = entry;
       eng.lifecycle = entry.lifecycle;
     }
-    if (e.scope != ListScope::Delta)
-      for (auto& [id, eng] : engines_)
-        if (!named.contains(id)) eng.lifecycle = Lifecycle::Gone;
+    if (e.scope == ListScope::Delta) return;
+    for (auto& [id, eng] : engines_)
+      if (!named.contains(id)) eng.lifecycle = Lifecycle::Gone;
   }
 
   void on(const TimerFired&) {
     timer_set_ = false;
-    if (s_.list_must_be_asked && (!asked_ || now_ - asked_at_ > s_.ask_within * 0.5)) ask_for_list();
+    if (s_.list_must_be_asked && now_ - asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every)) ask_for_list();
     for (auto& [id, eng] : engines_) watch(id, eng);
     for (auto& [id, f] : infs_) look_after(f);
   }
 
   void on(const ProbeEnded& e) {
     Engine* eng = engine(e.engine);
-    if (!eng) return;
-    if (e.report) take_report(*eng, *e.report);
-    if (e.as == EndedAs::Completed) eng->next_trial = now_;  // its process runs: real work may try it
+    if (eng && e.report) take_report(*eng, *e.report);
+    if (eng && e.as == EndedAs::Completed) eng->next_trial = now_;  // its process runs: real work may try it
   }
 
   void on(const PeerSpoke&) {}
 
   // --- the ordinary path ---
 
-  // Serves the queues: those for which a pair is free are booked, the rest wait before the read.
+  // Serves the queues: where a pair is free it is booked, the rest is held before the read.
   void admit() {
     std::vector<std::pair<double, InfId>> line;
+    bool on_time = false;
     for (auto& [id, f] : infs_)
       if (f.phase == Phase::Waiting) line.emplace_back(-urgency(f), id);
     std::sort(line.begin(), line.end());
-    int blocked = 0;
+    std::vector<Inference*> held, late;
     for (const auto& [rank, id] : line) {
       Inference& f = infs_.at(id);
       if (!may_send(f)) {
-        if (!f.any_out()) finish(f, Span{});
+        if (!f.any_out()) finish(f);
         continue;
       }
       if (f.ends - now_ <= needed(f) + answer_margin) {
-        finish(f, advice());
+        finish(f, true);
         continue;
       }
-      if (blocked >= 3) continue;  // a few smaller ones may pass a large one; no more
-      const auto pair = choose(f);
-      if (!pair || !commit(f, *pair)) ++blocked;
+      if (held.size() < 3 && book(f)) continue;  // a few smaller ones may pass a large one; no more
+      held.push_back(&f);
+      if (now_ + needed(f) > f.target) late.push_back(&f);
+      else on_time = true;
     }
-    if (blocked > 0) shed_the_late();
-    mode(holding_, blocked > 0, "holding before the read");
+    // While others can still be in time, the late are told at once, with a time to come back.
+    for (Inference* f : late)
+      if (on_time && !f->any_out()) finish(*f, true);
+    tell_holding(held.size());
   }
 
   // Joint scoring, in seconds: weight x tokens still to read + tokens booked at the reader, by its pace; the
-  // writer's booked share of memory; and the way between them.
-  std::optional<Pair> choose(Inference& f) {
-    std::optional<Pair> best;
-    std::vector<std::pair<EngineId, double>> readers, writers;
-    const double tokens = f.what.prompt_tokens;
+  // writer's booked share of memory; and the way between them. Both legs are booked, or none.
+  bool book(Inference& f) {
+    std::map<EngineId, double> readers, writers;
     for (const bool any : {false, true}) {
-      // Only when a role has nobody else are the doubted ones and those that failed this inference taken.
-      const bool no_readers = readers.empty(), no_writers = writers.empty();
-      for (auto& [id, eng] : engines_) {
-        if (!usable(f, id, eng, any)) continue;
-        if (no_readers && may_read(eng) && !reader_full(eng, tokens)) readers.emplace_back(id, reader_cost(f, eng));
-        if (no_writers && may_write(eng) && !writer_full(eng, tokens + f.answer_tokens))
-          writers.emplace_back(id, writer_cost(eng));
+      // Only where a role has nobody else are the doubted ones, and those that failed this one, taken.
+      const bool want_readers = readers.empty(), want_writers = writers.empty();
+      for (auto& [id, e] : engines_) {
+        if (!usable(f, id, e, any)) continue;
+        if (want_readers && may_read(e) && !reader_full(e, f.what.prompt_tokens)) readers[id] = reader_cost(f, e);
+        if (want_writers && may_write(e) && !writer_full(e, f.whole())) writers[id] = writer_cost(e);
       }
-      if (!readers.empty() && !writers.empty()) break;
-      if (!any && role_alive(f, readers.empty())) break;
+      if ((!readers.empty() && !writers.empty()) || (!any && merely_full(f, readers.empty()))) break;
     }
     f.waits_for = readers.empty() ? Stage::Read : Stage::Write;
-    for (const auto& [r, rc] : readers)
-      for (const auto& [w, wc] : writers) {
+    double least = never;
+    EngineId reader, writer;
+    for (const auto& [r, read] : readers)
+      for (const auto& [w, write] : writers) {
         const Engine &re = engines_[r], &we = engines_[w];
         if (reads_itself(re) && r != w) continue;
-        double cost = rc + wc + (r == w ? 0.0 : way_cost(f, re, we));
-        if (!best || cost < best->cost) best = Pair{r, w, cost};
+        const double cost = read + write + (r == w ? 0.0 : way_cost(f, re, we));
+        if (cost < least) least = cost, reader = r, writer = w;
       }
-    return best;
-  }
-
-  bool commit(Inference& f, const Pair& p) {
-    Engine &r = engines_[p.reader], &w = engines_[p.writer];
-    const InfId id = f.what.inf;
-    r.reading[id] = std::max(1.0, to_read(f, r));
-    w.writing[id] = f.what.prompt_tokens + f.answer_tokens;
-    const bool own = p.reader == p.writer;
-    if (!may_push(r) || (!own && !may_push(w))) {
-      r.reading.erase(id);
-      w.writing.erase(id);
-      return false;
-    }
-    f.reader = p.reader;
-    f.writer = p.writer;
+    if (least == never) return false;
+    const bool own = reader == writer;
+    engines_[reader].reading[f.what.inf] = std::max(1.0, to_read(f, engines_[reader]));
+    engines_[writer].writing[f.what.inf] = f.whole();
+    f.writer = writer;
     f.state_at.reset();
     f.place_at.reset();
     f.phase = own ? Phase::Answering : Phase::Reading;
-    send(f, p.reader, !own);
-    if (!own && s_.may_hold_places) hold_place(f, p.writer);
+    send(f, reader, !own);
+    if (own || !s_.may_hold_places) return true;
+    f.place_at = writer;
+    f.place_held.reset();
+    out_.push_back(HoldPlace{f.what.inf, writer});
     return true;
   }
 
   void read_done(Inference& f, const Send& s, const SendEnded& e) {
-    if (Engine* eng = engine(s.engine)) {
-      const double believed = f.what.prompt_tokens - to_read(f, *eng);
-      learn(f, *eng, believed, static_cast<double>(e.kept_tokens));
-    }
+    if (Engine* eng = engine(s.engine)) learn(f, *eng, e.kept_tokens);
     if (f.phase == Phase::Answering) return;  // a second read, after the first one's state went on
     f.state_at = s.engine;
     f.phase = Phase::Handing;
     hand_over(f);
   }
 
-  // The state goes to the booked writer; one that said full, left or fell silent gives way to the next-lowest.
+  // The state goes to the booked writer; one that said full, left or is in doubt gives way to the next-lowest.
   void hand_over(Inference& f) {
     if (!may_send(f)) {
-      if (!f.any_out()) finish(f, Span{});
+      if (!f.any_out()) finish(f);
       return;
     }
     std::optional<EngineId> best;
-    double best_cost = std::numeric_limits<double>::infinity();
-    const double need = f.what.prompt_tokens + f.answer_tokens;
-    const Engine* from = f.state_at ? engine(*f.state_at) : nullptr;
+    double least = never;
+    const Engine* from = engine(*f.state_at);
     for (const bool any : {false, true}) {
-      for (auto& [id, eng] : engines_) {
-        if (!may_write(eng) || !usable(f, id, eng, any)) continue;
-        const bool booked = f.writer == id;
-        const bool refused = f.place_at == id && f.place_known && !f.place_held;
-        if (!any && booked && !refused && !eng.doubted) {
-          best = id;
-          best_cost = -1;
-          continue;
-        }
-        if (!any && (refused || writer_full(eng, need) || !may_push(eng))) continue;
-        const double cost = writer_cost(eng) + (from ? way_cost(f, *from, eng) : 0.0);
-        if (cost < best_cost) best = id, best_cost = cost;
+      for (auto& [id, e] : engines_) {
+        if (!may_write(e) || !usable(f, id, e, any)) continue;
+        const bool refused = f.place_at == id && f.place_held == false;
+        const bool keeps = f.writer == id && !refused && !e.doubted;
+        if (!any && !keeps && (refused || writer_full(e, f.whole()))) continue;
+        const double cost = keeps ? -1 : writer_cost(e) + (from ? way_cost(f, *from, e) : 0.0);
+        if (cost < least) best = id, least = cost;
       }
       if (best || !pin_is_near(f)) break;
     }
-    if (!best) return;  // tried again on every event until the pin limit is near
-    if (f.writer != best) {
-      if (f.writer)
-        if (Engine* old = engine(*f.writer)) old->writing.erase(f.what.inf);
-      f.writer = best;
-      engines_[*best].writing[f.what.inf] = need;
-    }
+    if (!best) return;  // tried again by timer until the pin limit is near
+    if (f.writer && f.writer != best) engines_[*f.writer].writing.erase(f.what.inf);
+    f.writer = best;
+    engines_[*best].writing[f.what.inf] = f.whole();
     f.phase = Phase::Answering;
     send(f, *best, false);
   }
 
   void read_failed(Inference& f, const Send& s) {
     f.failed_at.insert(s.engine);
-    if (f.phase != Phase::Reading || reads_out(f) > 0) return;
-    back_to_queue(f);
+    if (f.phase == Phase::Reading && !f.out_at(true)) back_to_queue(f);
   }
 
   void write_failed(Inference& f, const Send& s, const SendEnded& e) {
     f.failed_at.insert(s.engine);
     if (f.place_at == s.engine) f.place_at.reset();
-    if (f.phase != Phase::Answering || writes_out(f) > 0) return;
+    if (f.phase != Phase::Answering || f.out_at(false)) return;
     if (f.writer == s.engine) f.writer.reset();
     if (e.no_state) f.state_at.reset();
     if (f.state_at) {
       f.phase = Phase::Handing;
       hand_over(f);
-    } else if (reads_out(f) > 0) {
+    } else if (f.out_at(true)) {
       f.phase = Phase::Reading;
     } else {
       back_to_queue(f);
@@ -455,16 +415,14 @@
   void back_to_queue(Inference& f) {
     unbook(f);
     out_.push_back(LetGo{f.what.inf});  // a failed writer may still hold a place that nothing here remembers
-    f.state_at.reset();
-    f.place_at.reset();
     f.phase = Phase::Waiting;
-    if (!may_send(f) && !f.any_out()) finish(f, Span{});
+    if (!may_send(f) && !f.any_out()) finish(f);
   }
 
   // --- scores, ledgers, fullness ---
 
   double reader_cost(const Inference& f, const Engine& e) {
-    double waiting = Engine::sum(e.reading);
+    double waiting = booked(e.reading);
     if (fresh(e) && e.report->tokens_waiting) waiting = std::max(waiting, *e.report->tokens_waiting);
     return (read_weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e);
   }
@@ -474,70 +432,58 @@
     return writer_seconds * writer_load(e) / memory(e) / size * slowness(e) * coldness(e);
   }
 
-  double writer_load(const Engine& e) {
-    const double own = Engine::sum(e.writing);
-    if (fresh(e) && e.report->memory_share)
-      return std::max(own, *e.report->memory_share * memory(e) + (own - e.booked_at_report));
-    return own * s_.fronts;
+  // Other fronts' streams are unseen: a report tells of them, or each front is taken to have as many.
+  double writer_load(const Engine& e) const {
+    const double own = booked(e.writing);
+    if (!tells_memory(e)) return own * s_.fronts;
+    return std::max(own, *e.report->memory_share * memory(e) + own - e.booked_at_report);
   }
 
-  bool writer_full(const Engine& e, double need) {
-    if (e.full_until > now_) return true;
-    if (fresh(e) && e.report->waiting && *e.report->waiting >= 1) return true;
-    if (e.writing.empty() && !(fresh(e) && e.report->memory_share)) return false;
-    const bool told = fresh(e) && e.report->memory_share;
-    return writer_load(e) + need > (told ? writer_memory_bound : unseen_memory_bound) * memory(e);
+  bool writer_full(const Engine& e, double need) const {
+    if (e.full_until > now_ || (fresh(e) && e.report->waiting.value_or(0) >= 1)) return true;
+    if (e.writing.empty() && !tells_memory(e)) return false;
+    return writer_load(e) + need > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
   }
 
+  // Other fronts' reads: each front is taken to have the mean of what this one has at such engines.
   bool reader_full(const Engine& e, double need) {
     if (e.full_until > now_) return true;
     if (e.reading.empty()) return false;
-    // Other fronts' reads are unseen: each is taken to have the mean of what this front has at such engines.
-    double mean = 0, peers = 0;
+    std::vector<double> all;
     for (auto& [id, other] : engines_)
-      if (other.entry.kind == e.entry.kind && other.lifecycle == Lifecycle::Ready)
-        mean += Engine::sum(other.reading), peers += 1;
-    const double tokens = Engine::sum(e.reading) + (s_.fronts - 1) * mean / std::max(1.0, peers);
+      if (other.entry.kind == e.entry.kind && other.lifecycle == Lifecycle::Ready) all.push_back(booked(other.reading));
+    const double mean = sum(all) / std::max<double>(1, static_cast<double>(all.size()));
+    const double tokens = booked(e.reading) + (s_.fronts - 1) * mean;
     if (tokens + need > memory(e)) return true;
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * reader_wait_bound;
   }
 
-  double memory(const Engine& e) const {
-    const double told = e.entry.kind < s_.kinds.size() ? s_.kinds[e.entry.kind].memory_tokens : 0;
-    return told > 0 ? told : 200000.0;
-  }
-
-  // Moving between racks costs its price, and what such moves were lately seen to take beyond near ones.
+  // A move to another rack costs its price, and what such moves lately took beyond near ones: covers links that
+  // are slow or crowded, whatever the cause.
   double way_cost(const Inference& f, const Engine& from, const Engine& to) {
     if (from.entry.rack == to.entry.rack) return 0;
-    double cost = far_seconds * s_.far_price;
-    if (from.entry.zone != to.entry.zone) cost += far_seconds * s_.zone_price;
-    std::vector<double> far, near;
-    if (const auto it = far_moves_.find(from.entry.rack); it != far_moves_.end())
-      it->second.pour(now_ - sample_life, far);
-    near_moves_.pour(now_ - sample_life, near);
-    if (far.size() >= 2 && near.size() >= 2)
-      cost += std::max(0.0, median(far, 0) - median(near, 0)) * (f.what.prompt_tokens / 1000.0);
-    return cost;
-  }
-
-  // Prefix table: what this reader should still have of the prompt.
+    const double price = s_.far_price + (from.entry.zone != to.entry.zone ? s_.zone_price : 0.0);
+    const auto far = far_moves_[from.entry.rack].since(now_ - sample_life);
+    const auto near = near_moves_.since(now_ - sample_life);
+    if (far.size() < 2 || near.size() < 2) return far_seconds * price;
+    const double longer = std::max(0.0, quantile(far, 0.5, 0) - quantile(near, 0.5, 0));
+    return far_seconds * price + longer * f.what.prompt_tokens / 1000;
+  }
+
+  // What of the prompt this reader should not have kept.
   double to_read(const Inference& f, const Engine& e) const {
     double found = 0;
-    const auto look = [&](TextKey key, double most) {
-      const auto it = key == 0 ? e.kept.end() : e.kept.find(key);
-      if (it != e.kept.end() && it->second.touched >= e.kept_since)
+    for (const auto& [key, most] : {std::pair{f.what.session, f.what.prompt_tokens},
+                                    std::pair{f.what.shared_text, f.what.shared_tokens}})
+      if (const auto it = e.kept.find(key); key != 0 && it != e.kept.end() && it->second.touched >= e.kept_since)
         found = std::max(found, std::min(it->second.tokens, most));
-    };
-    look(f.what.session, f.what.prompt_tokens);
-    look(f.what.shared_text, f.what.shared_tokens);
     return std::max(0.0, f.what.prompt_tokens - found);
   }
 
-  // A reader keeps what was touched last: once a text proves gone, all that were touched before it are taken to
-  // be gone too. Covers eviction, forgotten texts and restarts that nobody told of.
-  void learn(const Inference& f, Engine& e, double believed, double found) {
-    if (believed > 0 && found < believed / 2) {
+  // A reader keeps what was touched last: once a text proves gone, all touched before it are taken to be gone
+  // too. Covers eviction, forgotten texts and restarts that nobody told of.
+  void learn(const Inference& f, Engine& e, double found) {
+    if (found < (f.what.prompt_tokens - to_read(f, e)) / 2) {
       Instant oldest = now_;
       for (TextKey key : {f.what.session, f.what.shared_text})
         if (const auto it = e.kept.find(key); it != e.kept.end()) oldest = std::min(oldest, it->second.touched);
@@ -545,7 +491,11 @@
     }
     if (f.what.session) e.kept[f.what.session] = {f.what.prompt_tokens, now_};
     if (f.what.shared_text) e.kept[f.what.shared_text] = {f.what.shared_tokens, now_};
-    if (e.kept.size() > 4096) std::erase_if(e.kept, [&](const auto& k) { return k.second.touched < e.kept_since; });
+    if (e.kept.size() <= texts_kept) return;
+    std::vector<Instant> touched;
+    for (const auto& [key, k] : e.kept) touched.push_back(k.touched);
+    std::nth_element(touched.begin(), touched.begin() + texts_kept / 2, touched.end());
+    std::erase_if(e.kept, [&](const auto& k) { return k.second.touched < touched[texts_kept / 2]; });
   }
 
   // Tokens a second that readers of a kind were lately seen to reach where little stood in the way: the median
@@ -559,37 +509,41 @@
     return rates_[kind] = 1.0 / quantile(std::move(all), 0.25, 1.0 / no_rate);
   }
 
+  // Pace against the peers of its kind; a fleet that is slow as a whole has nobody slow in it.
   double slowness(const Engine& e) {
-    const bool reads = stage(e) == Stage::Read;
-    std::vector<double> own, peers;
+    const auto samples = stage(e) == Stage::Read ? &Engine::pace : &Engine::first_token;
+    std::vector<double> peers;
     for (auto& [id, other] : engines_)
-      if (other.entry.kind == e.entry.kind) (reads ? other.pace : other.first_token).pour(now_ - sample_life, peers);
-    (reads ? e.pace : e.first_token).pour(now_ - sample_life, own);
+      if (other.entry.kind == e.entry.kind) (other.*samples).pour(now_ - sample_life, peers);
+    const auto own = (e.*samples).since(now_ - sample_life);
     if (own.size() < 3 || peers.size() < 2 * own.size()) return 1;
-    return std::max(1.0, median(own, 1) / median(peers, 1));
+    return std::max(1.0, quantile(own, 0.5, 1) / quantile(std::move(peers), 0.5, 1));
   }
 
+  bool is_cold(const Engine& e) const { return e.cold && now_ - e.cold_since < s_.cold; }
   double coldness(const Engine& e) const {
-    if (!e.cold || s_.cold <= Span{}) return 1;
-    const double age = std::min(1.0, (now_ - e.cold_since) / s_.cold);
-    return 1.0 / std::max(0.05, s_.cold_from + (1 - s_.cold_from) * age);
+    if (!is_cold(e)) return 1;
+    return 1.0 / std::max(0.05, s_.cold_from + (1 - s_.cold_from) * ((now_ - e.cold_since) / s_.cold));
   }
 
-  // Rule 4. A fresh engine gets sends spaced by what its warm peers get from this front, times the part of its
-  // capacity that is sure, times the multiple. Other fronts do the same, so all together stay below it.
-  bool may_push(const Engine& e) {
-    if (!e.cold || now_ - e.cold_since > s_.cold) return true;
-    const Span over = std::min(Span::millis(8000), std::max(Span::millis(1000), now_ - begun_at_));
+  // Rule 4. A fresh engine's sends are spaced by what this front sends its warm peers, times the part of the
+  // capacity that is sure, times the multiple: as every front does so, all together stay below the budget.
+  bool may_push(const Engine& e) const {
+    if (!is_cold(e) || e.sends.empty()) return true;
+    const Span over = std::clamp(now_ - *begun_at_, Span::millis(1000), rate_window);
     double sends = 0, peers = 0;
-    for (auto& [id, other] : engines_) {
-      if (other.entry.kind != e.entry.kind || other.cold || other.lifecycle != Lifecycle::Ready) continue;
-      peers += 1;
-      for (Instant at : other.sends) sends += at > now_ - over ? 1.0 : 0.0;
+    for (const bool same : {true, false}) {  // peers of its kind; where none is warm, those of its stage
+      for (const auto& [id, other] : engines_) {
+        if (is_cold(other) || other.lifecycle != Lifecycle::Ready || stage(other) != stage(e)) continue;
+        if (same && other.entry.kind != e.entry.kind) continue;
+        peers += 1;
+        for (Instant at : other.sends) sends += at > now_ - over ? 1 : 0;
+      }
+      if (peers > 0) break;
     }
-    const double per_s = peers > 0 ? sends / peers / over.seconds() : 0.0;
-    const double allowed = std::max(per_s * s_.cold_from * s_.fall_multiple * cold_share,
-                                    0.3 / std::max(0.1, s_.fall.seconds()) / s_.fronts);
-    return e.sends.empty() || (now_ - e.sends.back()).seconds() >= 1.0 / allowed;
+    const double per_s = sends / std::max(1.0, peers) / over.seconds() * s_.cold_from * s_.fall_multiple * cold_share;
+    const double least = cold_least / std::max(0.1, s_.fall.seconds()) / s_.fronts;
+    return (now_ - e.sends.back()).seconds() >= 1.0 / std::max(per_s, least);
   }
 
   // --- who may take what ---
@@ -602,51 +556,51 @@
   }
   bool may_read(const Engine& e) const { return stage(e) == Stage::Read || reads_itself(e); }
   bool may_write(const Engine& e) const { return stage(e) != Stage::Read; }
+  double memory(const Engine& e) const {
+    const double told = e.entry.kind < s_.kinds.size() ? s_.kinds[e.entry.kind].memory_tokens : 0;
+    return told > 0 ? told : no_memory;
+  }
 
-  bool usable(const Inference& f, const EngineId& id, const Engine& e, bool any) {
+  bool usable(const Inference& f, const EngineId& id, const Engine& e, bool any) const {
     if (e.lifecycle != Lifecycle::Ready || !effect_allows(f, e) || !may_push(e)) return false;
-    if (any) return true;
-    if (f.failed_at.contains(id)) return false;
-    return !e.doubted || (now_ >= e.next_trial && !e.trial_out);
+    return any || (!f.failed_at.contains(id) && (!e.doubted || (now_ >= e.next_trial && !e.trial_out)));
   }
 
-  // Whether the role has engines that are merely full, so that waiting makes sense.
-  bool role_alive(const Inference& f, bool read) {
-    for (auto& [id, e] : engines_)
-      if (e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(id) &&
-          (read ? may_read(e) : may_write(e)))
-        return true;
-    return false;
+  // Whether the role has sound engines that are only full, so that waiting makes sense.
+  bool merely_full(const Inference& f, bool read) const {
+    return std::any_of(engines_.begin(), engines_.end(), [&](const auto& at) {
+      const Engine& e = at.second;
+      return e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(at.first) &&
+             (read ? may_read(e) : may_write(e));
+    });
   }
 
-  // Rule 2. Sends that may have run bind the further ones.
-  bool effect_allows(const Inference& f, const Engine& to) {
+  // Rule 2: sends that may have run bind the further ones to their group and window.
+  bool effect_allows(const Inference& f, const Engine& to) const {
     const ModelRoute& r = route(f.what);
     if (r.effect != Effect::Deduped) return true;
-    for (const auto& s : f.sends) {
-      if (!s.ran) continue;
-      const Engine* first = engine(s.engine);
-      if (now_ - s.at >= r.dedupe_window - tick) return false;
-      if (r.dedupe_group == DedupeGroup::All) continue;
-      if (!first || first->entry.zone != to.entry.zone) return false;
-      if (r.dedupe_group == DedupeGroup::Rack && first->entry.rack != to.entry.rack) return false;
-    }
-    return true;
+    return !f.any([&](const Send& s) {
+      if (!s.ran || s.to_reader) return false;
+      if (now_ - s.at >= r.dedupe_window - tick) return true;
+      if (r.dedupe_group == DedupeGroup::All) return false;
+      const auto it = engines_.find(s.engine);
+      if (it == engines_.end() || it->second.entry.zone != to.entry.zone) return true;
+      return r.dedupe_group == DedupeGroup::Rack && it->second.entry.rack != to.entry.rack;
+    });
   }
 
   bool may_send(const Inference& f) const {
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return false;
     if (static_cast<int>(f.sends.size()) >= s_.max_sends || f.ends - now_ <= answer_margin) return false;
     if (!s_.second_copies && f.any_out()) return false;
-    if (route(f.what).effect != Effect::NonRetriable) return true;
-    return std::none_of(f.sends.begin(), f.sends.end(), [](const Send& s) { return s.out || s.ran; });
+    return route(f.what).effect != Effect::NonRetriable || !f.any([](const Send& s) { return s.out || s.ran; });
   }
 
   bool may_shed(const Inference& f) const {
     const ModelRoute& r = route(f.what);
     if (r.effect == Effect::Retriable) return true;
     if (r.effect == Effect::Deduped && r.dedupe_group == DedupeGroup::All) return true;
-    return std::none_of(f.sends.begin(), f.sends.end(), [](const Send& s) { return s.out || s.ran; });
+    return !f.any([](const Send& s) { return s.out || s.ran; });
   }
 
   // --- sends and their ends ---
@@ -657,96 +611,81 @@
     s.engine = to;
     s.at = now_;
     s.to_reader = to_reader;
-    if (to_reader) s.work = Engine::sum(e.reading);
-    else if (!f.state_at && e.reading.contains(f.what.inf)) s.work = e.reading[f.what.inf];
-    if (!to_reader && f.state_at)
-      if (const Engine* from = engine(*f.state_at)) s.far = from->entry.rack != e.entry.rack;
+    if (const auto own = e.reading.find(f.what.inf); to_reader) s.work = booked(e.reading);
+    else if (own != e.reading.end()) s.work = own->second;
+    if (const Engine* from = !to_reader && f.state_at ? engine(*f.state_at) : nullptr)
+      s.far = from->entry.rack != e.entry.rack;
     f.sends.push_back(s);
     e.awaited[{f.what.inf, f.sends.size() - 1}] = now_;
     e.sends.push_back(now_);
-    if (e.sends.size() > 256) e.sends.pop_front();
+    if (e.sends.size() > sends_kept) e.sends.pop_front();
     if (e.doubted) e.trial_out = true, e.next_trial = now_ + trial_every;
-    Span limit;
-    if (!s_.second_copies) limit = std::max(patience(e) * 3, (f.ends - now_) * 0.4);
+    // Where no second copy may help a silent send, it gets a time-out that leaves room for another.
+    const Span limit = s_.second_copies ? Span{} : std::max(patience(e) * 3, (f.ends - now_) * 0.4);
     out_.push_back(SendTo{f.what.inf, to, limit});
   }
 
-  void hold_place(Inference& f, const EngineId& at) {
-    f.place_at = at;
-    f.place_known = false;
-    f.place_held = false;
-    f.held_since = now_;
-    out_.push_back(HoldPlace{f.what.inf, at});
-  }
-
   void cancel(Inference& f, Send& s) {
     if (!s.out || s.cancelled || s.started || !s_.may_cancel) return;
     s.cancelled = true;
     out_.push_back(CancelSend{f.what.inf, static_cast<std::uint8_t>(&s - f.sends.data())});
   }
 
-  void finish(Inference& f, Span retry_after) {
-    const InfId id = f.what.inf;
-    count_served(f, 0);
-    if (may_shed(f)) out_.push_back(Shed{id, retry_after});
-    else out_.push_back(Fail{id});
+  // The final answer, at once; with a time to come back where that may help, spread over what clients heed so
+  // that those turned away do not return together.
+  void finish(Inference& f, bool advise = false) {
+    std::uniform_real_distribution<double> spread(0.25, 1.0);
+    const Span back = advise && s_.retry_advice ? s_.max_retry_after * spread(random_) : Span{};
+    if (may_shed(f)) out_.push_back(Shed{f.what.inf, back});
+    else out_.push_back(Fail{f.what.inf});
     over(f);
-    tidy(id);
   }
 
   void over(Inference& f) {
+    if (f.phase != Phase::Streaming) count_served(f, false);
     f.phase = Phase::Over;
     unbook(f);
     for (auto& s : f.sends) cancel(f, s);
     if (!f.sends.empty()) out_.push_back(LetGo{f.what.inf});
-    f.state_at.reset();
-    f.place_at.reset();
+    ended_.push_back(f.what.inf);
   }
 
-  void tidy(InfId id) { ended_.push_back(id); }  // erased when the event has been dealt with
-
   void unbook(Inference& f) {
-    for (auto& [id, e] : engines_) {
-      e.reading.erase(f.what.inf);
-      e.writing.erase(f.what.inf);
-    }
-    f.reader.reset();
+    for (auto& [id, e] : engines_) e.reading.erase(f.what.inf), e.writing.erase(f.what.inf);
     f.writer.reset();
+    f.state_at.reset();
+    f.place_at.reset();
   }
 
   // --- health ---
 
-  void sign_of_life(const EngineId& id) {
-    Engine* e = engine(id);
-    if (!e) return;
-    if (!e->awaited.empty()) e->gaps.add(now_, silence(*e).seconds());
-    e->quiet_since = now_;
-    if (e->doubted && e->failures.size() == 0) trust(id, *e);
-  }
-
-  void no_longer_awaited(InfId inf, std::size_t k, const Send& s) {
-    if (Engine* e = engine(s.engine)) e->awaited.erase({inf, k});
-  }
-
   // Since its last sign, or since the oldest thing still awaited was asked for: an idle engine is not silent.
   Span silence(const Engine& e) const {
     Instant oldest = now_;
     for (const auto& [key, at] : e.awaited) oldest = std::min(oldest, at);
-    return now_ - std::max(oldest, e.quiet_since);
+    return now_ - std::max(oldest, e.last_sign);
   }
 
-  Span patience(const Engine& e) {
-    std::vector<double> gaps;
-    e.gaps.pour(Instant{}, gaps);
+  void sign_of_life(const EngineId& id) {
+    Engine* e = engine(id);
+    if (!e) return;
+    if (!e->awaited.empty()) e->gaps.add(now_, silence(*e).seconds());
+    e->last_sign = now_;
+    if (e->silent) trust(id, *e);
+  }
+
+  // The silence that is still usual, by the gaps seen before at this engine or, while few, at its kind.
+  Span patience(const Engine& e) const {
+    auto gaps = e.gaps.since(Instant{});
     if (gaps.size() < 4)
-      for (auto& [id, other] : engines_)
+      for (const auto& [id, other] : engines_)
         if (other.entry.kind == e.entry.kind) other.gaps.pour(Instant{}, gaps);
     if (gaps.size() < 4) return smallest_target_ * 0.5;
-    double mean = 0, square = 0;
-    for (double g : gaps) mean += g / static_cast<double>(gaps.size());
-    for (double g : gaps) square += (g - mean) * (g - mean) / static_cast<double>(gaps.size());
-    const double most = *std::max_element(gaps.begin(), gaps.end());
-    return Span::from_seconds(std::max(most * 2, mean + silence_factor * std::sqrt(square)) + 0.2);
+    const auto n = static_cast<double>(gaps.size());
+    const double mean = sum(gaps) / n, most = *std::max_element(gaps.begin(), gaps.end());
+    double square = 0;
+    for (double g : gaps) square += (g - mean) * (g - mean) / n;
+    return Span::from_seconds(std::max(most * 2, mean + silence_deviations * std::sqrt(square)) + 0.2);
   }
 
   void watch(const EngineId& id, Engine& e) {
@@ -754,57 +693,51 @@
     double work = 0;
     for (const auto& [key, at] : e.awaited) work = std::max(work, find(key.first, key.second).second->work);
     const Span usual = patience(e) + Span::from_seconds(work / rate(e.entry.kind));
-    if (silence(e) > usual) {
-      e.failures.clear();  // the next sign of life is enough
-      doubt(id, e, "silent", silence(e).as_millis(), usual.as_millis());
-    }
-    if (e.doubted && s_.may_probe && now_ >= e.next_trial) {
-      e.next_trial = now_ + trial_every;
-      e.trial_out = false;
-      out_.push_back(Probe{id});
-    }
+    if (silence(e) > usual) doubt(id, e, true, silence(e).as_millis(), usual.as_millis());
+    if (!e.doubted || !s_.may_probe || now_ < e.next_trial) return;
+    e.next_trial = now_ + trial_every;
+    e.trial_out = false;
+    out_.push_back(Probe{id});
   }
 
-  void doubt(const EngineId& id, Engine& e, const char* why, double seen, double usual) {
+  void doubt(const EngineId& id, Engine& e, bool silent, double seen, double usual) {
     if (e.doubted) return;
     e.doubted = true;
+    e.silent = silent;
     e.trial_out = false;
     e.next_trial = now_ + trial_every;
-    say("doubt", id, why, seen, usual);
+    say(id, silent ? "doubted: silent for %.0f ms, usual %.0f" : "doubted: %.0f of %.0f sends failed", seen, usual);
   }
 
   void trust(const EngineId& id, Engine& e) {
-    e.doubted = false;
+    e.doubted = e.silent = e.trial_out = false;
+    say(id, "trusted again", 0, 0);
+  }
+
+  void judge(const EngineId& id, Engine& e, const Send& s, const SendEnded& end) {
+    if (end.as == EndedAs::TimedOut || end.as == EndedAs::Cancelled || end.as == EndedAs::Moot) return;
+    const bool lost = end.as == EndedAs::Reset || end.as == EndedAs::ConnectFailed;
+    const bool failed = lost || end.as == EndedAs::Errored;
+    if (end.as == EndedAs::Full && !end.no_state) e.full_until = now_ + full_memory;
+    e.failures.add(now_, failed ? 1 : 0);
+    const auto recent = e.failures.since(now_ - sample_life);
+    const double bad = sum(recent), all = static_cast<double>(recent.size());
     e.trial_out = false;
-    e.failures.clear();
-    say("trust", id, "answers again", 0, 0);
-  }
-
-  void judge(const Send& s, const SendEnded& e) {
-    Engine* eng = engine(s.engine);
-    if (!eng || e.as == EndedAs::TimedOut || e.as == EndedAs::Cancelled || e.as == EndedAs::Moot) return;
-    const bool failed = e.as == EndedAs::Errored || e.as == EndedAs::Reset || e.as == EndedAs::ConnectFailed;
-    if (e.as == EndedAs::Full && !e.no_state) eng->full_until = now_ + full_memory;
-    eng->failures.add(now_, failed ? 1 : 0);
-    std::vector<double> recent;
-    eng->failures.pour(now_ - sample_life, recent);
-    const double bad = std::accumulate(recent.begin(), recent.end(), 0.0);
-    const auto all = static_cast<double>(recent.size());
+    if (e.doubted) e.next_trial = failed ? now_ + trial_every : now_;
     if (failed) {
-      if (eng->doubted) eng->next_trial = now_ + trial_every, eng->trial_out = false;
-      if (bad >= 0.25 * all && (bad >= 3 || e.as != EndedAs::Errored)) doubt(s.engine, *eng, "failing", bad, all);
+      if (bad >= failing_share * all && (bad >= 3 || lost)) doubt(id, e, false, bad, all);
       return;
     }
-    sign_of_life(s.engine);
-    if (eng->doubted) eng->trial_out = false, eng->next_trial = now_;
-    if (eng->doubted && bad < 0.25 * all) trust(s.engine, *eng);
-    if (e.as == EndedAs::ReadDone) eng->pace.add(now_, e.elapsed.seconds() / (s.work + read_overhead));
+    sign_of_life(id);
+    if (e.doubted && bad < failing_share * all) trust(id, e);
+    if (end.as == EndedAs::ReadDone) e.pace.add(now_, end.elapsed.seconds() / (s.work + read_overhead));
   }
 
   void note_first_token(const Inference& f, const Send& s, Span elapsed) {
     Engine* e = engine(s.engine);
     if (!e || !f.state_at) return;
-    const double per_1000 = elapsed.seconds() / std::max(0.5, f.what.prompt_tokens / 1000.0);
+    const double per_1000 = elapsed.seconds() / std::max(0.5, f.what.prompt_tokens / 1000);
+    after_read_.add(now_, elapsed.seconds());
     if (!s.far) e->first_token.add(now_, per_1000), near_moves_.add(now_, per_1000);
     else if (const Engine* from = engine(*f.state_at)) far_moves_[from->entry.rack].add(now_, per_1000);
   }
@@ -812,34 +745,38 @@
   void take_report(Engine& e, const LoadReport& r) {
     e.report = r;
     e.report_at = now_;
-    e.booked_at_report = Engine::sum(e.writing);
+    e.booked_at_report = booked(e.writing);
   }
   bool fresh(const Engine& e) const { return e.report && now_ - e.report_at < report_life; }
+  bool tells_memory(const Engine& e) const { return fresh(e) && e.report->memory_share; }
 
   // --- by timer ---
 
   void look_after(Inference& f) {
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return;
-    if (f.ends - now_ <= answer_margin) return finish(f, Span{});
+    if (f.ends - now_ <= answer_margin) return finish(f);
     if (f.phase == Phase::Handing && !f.any_out()) {
       hand_over(f);
       if (f.phase == Phase::Handing && pin_is_near(f)) back_to_queue(f);
-      return;
+    } else if (f.phase == Phase::Reading || f.phase == Phase::Answering) {
+      rescue(f);
     }
-    if (f.phase != Phase::Reading && f.phase != Phase::Answering) return;
-    // Rescue: nothing of it has begun, and the engine it waits for is in doubt.
+  }
+
+  // What waits for a doubted engine, and has not begun, goes elsewhere: a read as a second copy, an answer to
+  // the next writer while the state still waits. Covers hangs, vanished machines and cut links alike.
+  void rescue(Inference& f) {
     for (std::size_t k = 0; k < f.sends.size(); ++k) {
       const Send s = f.sends[k];
-      Engine* e = engine(s.engine);
-      if (!s.out || s.cancelled || (e && (!e->doubted || now_ - s.at < patience(*e)))) continue;
-      if (f.failed_at.contains(s.engine)) continue;
+      const Engine* e = engine(s.engine);
+      if (!s.out || s.cancelled || f.failed_at.contains(s.engine)) continue;
+      if (e && (!e->doubted || now_ - s.at < patience(*e))) continue;
       f.failed_at.insert(s.engine);
-      if (!s_.second_copies) {
-        cancel(f, f.sends[k]);  // its outcome brings the next send
-      } else if (may_send(f)) {
-        if (s.to_reader) second_read(f);
-        else if (f.state_at) cancel(f, f.sends[k]), f.phase = Phase::Handing, hand_over(f);
-        else cancel(f, f.sends[k]);
+      if (s_.second_copies && s.to_reader) {
+        if (may_send(f)) second_read(f);
+      } else {
+        cancel(f, f.sends[k]);  // its outcome brings the next send, if this does not
+        if (s_.second_copies && f.state_at) f.phase = Phase::Handing, hand_over(f);
       }
       return;
     }
@@ -847,47 +784,40 @@
 
   void second_read(Inference& f) {
     std::optional<EngineId> best;
-    double least = std::numeric_limits<double>::infinity();
-    for (auto& [id, e] : engines_) {
-      if (stage(e) != Stage::Read || !usable(f, id, e, false) || e.doubted) continue;
-      const double cost = reader_cost(f, e);
-      if (cost < least) best = id, least = cost;
-    }
+    double least = never;
+    for (auto& [id, e] : engines_)
+      if (stage(e) == Stage::Read && !e.doubted && usable(f, id, e, false))
+        if (const double cost = reader_cost(f, e); cost < least) best = id, least = cost;
     if (!best) return;
     engines_[*best].reading[f.what.inf] = std::max(1.0, to_read(f, engines_[*best]));
     send(f, *best, true);
   }
 
-  bool pin_is_near(const Inference& f) const {
-    return now_ - f.held_since > s_.pin_limit - tick * 3;
-  }
+  bool pin_is_near(const Inference& f) const { return now_ - f.held_since > s_.pin_limit - tick * 3; }
 
-  // --- order and shedding ---
+  // --- order ---
 
   // Until its first token, if it were booked now: the cheapest read, and what lately came after reads.
   Span needed(const Inference& f) {
-    double least = std::numeric_limits<double>::infinity();
+    double least = never;
     for (auto& [id, e] : engines_)
       if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e)) least = std::min(least, reader_cost(f, e));
-    std::vector<double> after;
-    after_read_.pour(now_ - sample_life, after);
-    return Span::from_seconds((std::isfinite(least) ? least : 0.0) + quantile(std::move(after), 0.75, 0.05));
+    const double after = quantile(after_read_.since(now_ - sample_life), 0.75, 0.05);
+    return Span::from_seconds((least < never ? least : 0.0) + after);
   }
 
-  // Worth per unit of the scarce role's work: what is mostly kept already costs a reader little. The worst-served
-  // route counts as priced; what can no longer be in time counts for its late value.
+  // Worth per unit of the scarce role's work: what is mostly kept already costs a reader little. The worst
+  // served route counts as priced; what can no longer be in time counts for its late value. Covers overload,
+  // lost engines and lost texts alike; in long overload it could starve sessions that nobody keeps.
   double urgency(const Inference& f) {
     double worth = s_.whole_weight * route(f.what).value;
-    const std::size_t own = index(f.what);
-    if (s_.routes.size() > 1 && s_.worst_route_weight > 0) {
-      std::size_t worst = own;
-      for (std::size_t k = 0; k < served_.size(); ++k)
-        if (share_served(k) < share_served(worst) - 0.02) worst = k;
-      if (worst == own) worth += s_.worst_route_weight * 2;
-    }
+    std::size_t worst = index(f.what);
+    for (std::size_t k = 0; k < served_.size(); ++k)
+      if (share_served(k) < share_served(worst) - 0.02) worst = k;
+    if (served_.size() > 1 && worst == index(f.what)) worth += s_.worst_route_weight * 2;
     if (now_ + needed(f) > f.target) worth *= route(f.what).late_value;
     if (f.what.resumed) worth *= 2;
-    double cost = f.what.prompt_tokens + f.answer_tokens;
+    double cost = f.whole();
     if (f.waits_for == Stage::Read) {
       cost = f.what.prompt_tokens;
       for (auto& [id, e] : engines_)
@@ -898,34 +828,10 @@
   }
 
   double share_served(std::size_t k) const {
-    std::vector<double> all;
-    served_[k].pour(now_ - sample_life, all);
-    double sum = 0;
-    for (double v : all) sum += v;
-    return all.empty() ? 1.0 : sum / static_cast<double>(all.size());
-  }
-
-  void count_served(const Inference& f, double in_time) { served_[index(f.what)].add(now_, in_time); }
-
-  void shed_the_late() {
-    bool on_time = false;
-    std::vector<InfId> late;
-    for (auto& [id, f] : infs_) {
-      if (f.phase != Phase::Waiting) continue;
-      if (now_ + needed(f) > f.target) late.push_back(id);
-      else on_time = true;
-    }
-    if (!on_time) return;
-    for (InfId id : late)
-      if (!infs_.at(id).any_out()) finish(infs_.at(id), advice());
-  }
-
-  // When to come back: spread over what clients heed, so that those turned away do not return together.
-  Span advice() {
-    if (!s_.retry_advice) return Span{};
-    std::uniform_real_distribution<double> spread(0.25, 1.0);
-    return s_.max_retry_after * spread(random_);
+    const auto all = served_[k].since(now_ - sample_life);
+    return all.empty() ? 1.0 : sum(all) / static_cast<double>(all.size());
   }
+  void count_served(const Inference& f, bool in_time) { served_[index(f.what)].add(now_, in_time ? 1 : 0); }
 
   // --- small things ---
 
@@ -935,9 +841,8 @@
     out_.push_back(Subscribe{true});
   }
 
-  const ModelRoute& route(const Arrived& a) const { return s_.routes[index(a)]; }
   std::size_t index(const Arrived& a) const { return std::min<std::size_t>(a.route, s_.routes.size() - 1); }
-  std::size_t index(const Inference& f) const { return index(f.what); }
+  const ModelRoute& route(const Arrived& a) const { return s_.routes[index(a)]; }
 
   Engine* engine(const EngineId& id) {
     const auto it = engines_.find(id);
@@ -950,51 +855,40 @@
     return {&it->second, &it->second.sends[k]};
   }
 
-  static int out_of(const Inference& f, bool reader) {
-    return static_cast<int>(std::count_if(f.sends.begin(), f.sends.end(), [&](const Send& s) {
-      return s.out && s.to_reader == reader && !s.cancelled;
-    }));
-  }
-  static int reads_out(const Inference& f) { return out_of(f, true); }
-  static int writes_out(const Inference& f) { return out_of(f, false); }
-
-  void mode(bool& state, bool now_on, const char* what) {
-    if (state == now_on) return;
-    state = now_on;
-    if (now_ - mode_said_ < Span::millis(2000)) return;
-    mode_said_ = now_;
-    int waiting = 0, readers = 0;
-    for (const auto& [id, f] : infs_)
-      if (f.phase == Phase::Waiting) ++waiting, readers += f.waits_for == Stage::Read ? 1 : 0;
+  void tell_holding(std::size_t held) {
+    const bool was = std::exchange(holding_, held > 0);
+    if (was == holding_ || (told_at_ && now_ - *told_at_ < Span::millis(2000))) return;
+    told_at_ = now_;
     double load = 0, backlog = 0;
-    for (auto& [id, e] : engines_)
+    for (const auto& [id, e] : engines_)
       if (may_write(e)) load = std::max(load, writer_load(e) / memory(e));
-      else backlog = std::max(backlog, Engine::sum(e.reading) / rate(e.entry.kind));
-    char text[160];
-    std::snprintf(text, sizeof text, "%s %s: %d waiting (%d for a reader); fullest writer %.2f, longest read %.2f s",
-                  what, now_on ? "on" : "off", waiting, readers, load, backlog);
+      else backlog = std::max(backlog, booked(e.reading) / rate(e.entry.kind));
+    char text[128];
+    std::snprintf(text, sizeof text, "holding %s: %zu held; fullest writer %.2f, longest read %.2f s",
+                  holding_ ? "on" : "off", held, load, backlog);
     out_.push_back(Log{text});
   }
 
-  void say(const char* what, const EngineId& id, const char* why, double seen, double usual) {
-    char text[128];
-    std::snprintf(text, sizeof text, "%s %d.%d.%d.%d:%d %s: %.0f against %.0f", what, id.address[0], id.address[1],
-                  id.address[2], id.address[3], id.port, why, seen, usual);
-    out_.push_back(Log{text});
+  void say(const EngineId& id, const char* what, double a, double b) {
+    char name[32], text[96];
+    std::snprintf(name, sizeof name, "%d.%d.%d.%d:%d ", id.address[0], id.address[1], id.address[2], id.address[3],
+                  id.port);
+    std::snprintf(text, sizeof text, what, a, b);
+    out_.push_back(Log{std::string(name) + text});
   }
 
   const Settings s_;
   std::mt19937 random_;
   Span smallest_target_;
-  Instant now_, begun_at_, asked_at_, mode_said_;
-  bool begun_ = false, timer_set_ = false, asked_ = false, holding_ = false;
+  Instant now_, asked_at_, rates_at_;
+  std::optional<Instant> begun_at_, told_at_;
+  bool timer_set_ = false, asked_ = false, holding_ = false;
   std::map<EngineId, Engine> engines_;
   std::map<InfId, Inference> infs_;
-  std::vector<LastFew> served_;
+  std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
   std::map<std::uint16_t, LastFew> far_moves_;
   LastFew near_moves_, after_read_;
   std::map<std::uint8_t, double> rates_;
-  Instant rates_at_;
   std::vector<InfId> ended_;
   std::vector<Action> out_;
 };
