--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -39,7 +39,7 @@
 constexpr double read_weight = 1.0;           // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;   // where a report tells of it
 constexpr double unseen_memory_bound = 1.4;   // own load times fronts: fronts are unevenly busy, full answers tell
-constexpr double reader_wait_bound = 0.5;     // of the smallest first-token target
+constexpr double reader_wait_bound = 0.35;    // of the smallest first-token target
 constexpr double writer_seconds = 1.0;        // what a writer's full memory costs, against seconds of reading
 constexpr double far_seconds = 5.0;           // what the price of a move to another rack costs, likewise
 constexpr double cold_share = 0.7;            // of the cold budget that is used
@@ -771,9 +771,10 @@
       const Engine* e = engine(s.engine);
       if (!s.out || s.cancelled || f.failed_at.contains(s.engine)) continue;
       if (e && (!e->doubted || now_ - s.at < patience(*e))) continue;
+      if (s_.second_copies && !may_send(f)) return;
       f.failed_at.insert(s.engine);
       if (s_.second_copies && s.to_reader) {
-        if (may_send(f)) second_read(f);
+        second_read(f);
       } else {
         cancel(f, f.sends[k]);  // its outcome brings the next send, if this does not
         if (s_.second_copies && f.state_at) f.phase = Phase::Handing, hand_over(f);
