--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -39,7 +39,8 @@
 constexpr double read_weight = 1.0;           // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;   // where a report tells of it
 constexpr double unseen_memory_bound = 1.4;   // own load times fronts: fronts are unevenly busy, full answers tell
-constexpr double reader_wait_bound = 0.35;    // of the smallest first-token target
+constexpr double reader_wait_bound = 0.5;     // of the smallest first-token target
+constexpr double mixed_wait_bound = 0.25;     // likewise: its reads slow its answers
 constexpr double writer_seconds = 1.0;        // what a writer's full memory costs, against seconds of reading
 constexpr double far_seconds = 5.0;           // what the price of a move to another rack costs, likewise
 constexpr double cold_share = 0.7;            // of the cold budget that is used
@@ -455,7 +456,8 @@
     const double mean = sum(all) / std::max<double>(1, static_cast<double>(all.size()));
     const double tokens = booked(e.reading) + (s_.fronts - 1) * mean;
     if (tokens + need > memory(e)) return true;
-    return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * reader_wait_bound;
+    const double bound = stage(e) == Stage::Read ? reader_wait_bound : mixed_wait_bound;
+    return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * bound;
   }
 
   // A move to another rack costs its price, and what such moves lately took beyond near ones: covers links that
