Rack links cost their price alone; an unanswered place counts as refused

The place guards against handing a state to a writer that can't be heard; it could send a state elsewhere when only the answer is late.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -337,7 +337,7 @@
       for (const auto& [w, write] : writers) {
         const Engine &re = engines_[r], &we = engines_[w];
         if (reads_itself(re) && r != w) continue;
-        const double cost = read + write + (r == w ? 0.0 : way_cost(f, re, we));
+        const double cost = read + write + (r == w ? 0.0 : way_cost(re, we));
         if (cost < least) least = cost, reader = r, writer = w;
       }
     if (least == never) return false;
@@ -361,11 +361,11 @@
     if (f.phase == Phase::Answering) return;  // a second read, after the first one's state went on
     f.state_at = s.engine;
     f.phase = Phase::Handing;
-    hand_over(f);
+    hand_over(f, e.elapsed);
   }
 
   // The state goes to the booked writer; one that said full, left or is in doubt gives way to the next-lowest.
-  void hand_over(Inference& f) {
+  void hand_over(Inference& f, Span since_asked) {
     if (!may_send(f)) {
       if (!f.any_out()) finish(f);
       return;
@@ -376,10 +376,11 @@
     for (const bool any : {false, true}) {
       for (auto& [id, e] : engines_) {
         if (!may_write(e) || !usable(f, id, e, any)) continue;
-        const bool refused = f.place_at == id && f.place_held == false;
+        // A place that nobody answered for while the read ran counts as refused: its engine can't be heard.
+        const bool refused = f.place_at == id && !f.place_held.value_or(since_asked < tick);
         const bool keeps = f.writer == id && !refused && !e.doubted;
         if (!any && !keeps && (refused || writer_full(e, f.whole()))) continue;
-        const double cost = keeps ? -1 : writer_cost(e) + (from ? way_cost(f, *from, e) : 0.0);
+        const double cost = keeps ? -1 : writer_cost(e) + (from ? way_cost(*from, e) : 0.0);
         if (cost < least) best = id, least = cost;
       }
       if (best || !pin_is_near(f)) break;
@@ -405,7 +406,7 @@
     if (e.no_state) f.state_at.reset();
     if (f.state_at) {
       f.phase = Phase::Handing;
-      hand_over(f);
+      hand_over(f, tick);
     } else if (f.out_at(true)) {
       f.phase = Phase::Reading;
     } else {
@@ -460,16 +461,9 @@
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * bound;
   }
 
-  // A move to another rack costs its price, and what such moves lately took beyond near ones: covers links that
-  // are slow or crowded, whatever the cause.
-  double way_cost(const Inference& f, const Engine& from, const Engine& to) {
+  double way_cost(const Engine& from, const Engine& to) const {
     if (from.entry.rack == to.entry.rack) return 0;
-    const double price = s_.far_price + (from.entry.zone != to.entry.zone ? s_.zone_price : 0.0);
-    const auto far = far_moves_[from.entry.rack].since(now_ - sample_life);
-    const auto near = near_moves_.since(now_ - sample_life);
-    if (far.size() < 2 || near.size() < 2) return far_seconds * price;
-    const double longer = std::max(0.0, quantile(far, 0.5, 0) - quantile(near, 0.5, 0));
-    return far_seconds * price + longer * f.what.prompt_tokens / 1000;
+    return far_seconds * (s_.far_price + (from.entry.zone != to.entry.zone ? s_.zone_price : 0.0));
   }
 
   // What of the prompt this reader should not have kept.
@@ -740,8 +734,7 @@
     if (!e || !f.state_at) return;
     const double per_1000 = elapsed.seconds() / std::max(0.5, f.what.prompt_tokens / 1000);
     after_read_.add(now_, elapsed.seconds());
-    if (!s.far) e->first_token.add(now_, per_1000), near_moves_.add(now_, per_1000);
-    else if (const Engine* from = engine(*f.state_at)) far_moves_[from->entry.rack].add(now_, per_1000);
+    if (!s.far) e->first_token.add(now_, per_1000);
   }
 
   void take_report(Engine& e, const LoadReport& r) {
@@ -758,7 +751,7 @@
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return;
     if (f.ends - now_ <= answer_margin) return finish(f);
     if (f.phase == Phase::Handing && !f.any_out()) {
-      hand_over(f);
+      hand_over(f, tick);
       if (f.phase == Phase::Handing && pin_is_near(f)) back_to_queue(f);
     } else if (f.phase == Phase::Reading || f.phase == Phase::Answering) {
       rescue(f);
@@ -779,7 +772,7 @@
         second_read(f);
       } else {
         cancel(f, f.sends[k]);  // its outcome brings the next send, if this does not
-        if (s_.second_copies && f.state_at) f.phase = Phase::Handing, hand_over(f);
+        if (s_.second_copies && f.state_at) f.phase = Phase::Handing, hand_over(f, tick);
       }
       return;
     }
@@ -889,8 +882,7 @@
   std::map<EngineId, Engine> engines_;
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
-  std::map<std::uint16_t, LastFew> far_moves_;
-  LastFew near_moves_, after_read_;
+  LastFew after_read_;
   std::map<std::uint8_t, double> rates_;
   std::vector<InfId> ended_;
   std::vector<Action> out_;
