--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -162,8 +162,8 @@
   std::uint32_t from = 0;
   std::string text;
 };
-using Event = std::variant<Arrived, StreamStarted, PlaceAnswered, SendEnded, ClientLeft, FleetListed, TimerFired,
-                           ProbeEnded, PeerSpoke>;
+using Event = std::variant<Arrived, StreamStarted, PlaceAnswered, SendEnded, ClientLeft, FleetListed,
+                           TimerFired, ProbeEnded, PeerSpoke>;
 
 // What is to be done.
 struct SendTo {
@@ -213,7 +213,7 @@
 struct Log {
   std::string text;
 };
-using Action = std::variant<SendTo, HoldPlace, LetGo, CancelSend, Shed, Fail, MoveStream, SetTimer, Probe, CloseLinks,
-                            Subscribe, FetchList, TellPeer, Log>;
+using Action = std::variant<SendTo, HoldPlace, LetGo, CancelSend, Shed, Fail, MoveStream, SetTimer, Probe,
+                            CloseLinks, Subscribe, FetchList, TellPeer, Log>;
 
 }  // namespace calicograde
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -27,7 +27,7 @@
 namespace {
 
 constexpr Span tick = Span::millis(20);
-constexpr Span answer_margin = Span::millis(30);   // the final answer comes this long before the client leaves
+constexpr Span answer_margin = Span::millis(30);  // the final answer comes this long before the client leaves
 constexpr Span sample_life = Span::millis(12000);  // older samples no longer speak for an engine
 constexpr Span full_memory = Span::millis(250);    // how long a full answer counts as recent
 constexpr Span trial_every = Span::millis(1000);
@@ -36,21 +36,22 @@
 constexpr std::size_t samples_kept = 16;
 constexpr std::size_t sends_kept = 256;
 constexpr std::size_t texts_kept = 4096;
-constexpr double read_weight = 1.0;           // of prompt tokens still to read, against tokens booked
-constexpr double writer_memory_bound = 0.9;   // where a report tells of it
-constexpr double unseen_memory_bound = 1.4;   // own load times fronts: fronts are unevenly busy, full answers tell
-constexpr double reader_wait_bound = 0.5;     // of the smallest first-token target
-constexpr double mixed_wait_bound = 0.25;     // likewise: its reads slow its answers
-constexpr double writer_seconds = 1.0;        // what a writer's full memory costs, against seconds of reading
-constexpr double far_seconds = 5.0;           // what the price of a move to another rack costs, likewise
-constexpr double cold_share = 0.7;            // of the cold budget that is used
-constexpr double cold_least = 0.3;            // sends in the fall window, all fronts, where no peer shows more
+constexpr Span text_life = Span::millis(120000);  // beyond that many, those untouched for so long go
+constexpr double read_weight = 1.0;               // of prompt tokens still to read, against tokens booked
+constexpr double writer_memory_bound = 0.9;       // where a report tells of it
+constexpr double unseen_memory_bound = 1.4;       // of own load times fronts, which are unevenly busy
+constexpr double reader_wait_bound = 0.5;         // of the smallest first-token target
+constexpr double mixed_wait_bound = 0.25;         // likewise: its reads slow its answers
+constexpr double writer_seconds = 1.0;  // what a writer's full memory costs, against seconds of reading
+constexpr double far_seconds = 5.0;     // what the price of a move to another rack costs, likewise
+constexpr double cold_share = 0.7;      // of the cold budget that is used
+constexpr double cold_least = 0.3;      // sends in the fall window, all fronts, where no peer shows more
 constexpr double silence_deviations = 6.0;
 constexpr double failing_share = 0.25;
-constexpr double read_overhead = 500;         // a read's fixed part, in tokens
-constexpr double answer_work = 8;             // work of an answered token, in tokens read
-constexpr double no_rate = 10000;             // tokens a second, until a read has been seen
-constexpr double no_memory = 200000;          // tokens, where settings do not tell
+constexpr double read_overhead = 500;  // a read's fixed part, in tokens
+constexpr double answer_work = 8;      // work of an answered token, in tokens read
+constexpr double no_rate = 10000;      // tokens a second, until a read has been seen
+constexpr double no_memory = 200000;   // tokens, where settings do not tell
 constexpr double never = std::numeric_limits<double>::infinity();
 
 double quantile(std::vector<double> v, double part, double absent) {
@@ -69,13 +70,9 @@
     if (samples_.size() > samples_kept) samples_.pop_front();
   }
   void clear() { samples_.clear(); }
-  void pour(Instant since, std::vector<double>& out) const {
-    for (const auto& [at, value] : samples_)
-      if (at >= since) out.push_back(value);
-  }
-  std::vector<double> since(Instant at) const {
-    std::vector<double> out;
-    pour(at, out);
+  std::vector<double> since(Instant at, std::vector<double> out = {}) const {
+    for (const auto& [when, value] : samples_)
+      if (when >= at) out.push_back(value);
     return out;
   }
 
@@ -90,10 +87,7 @@
   return tokens;
 }
 
-struct Kept {
-  double tokens;
-  Instant touched;
-};
+using Kept = std::pair<double, Instant>;  // tokens, and when they were last touched
 
 struct Engine {
   EngineEntry entry;
@@ -113,8 +107,7 @@
 struct Send {
   EngineId engine;
   Instant at;
-  bool to_reader = false;
-  bool far = false;  // the state comes from another rack
+  bool to_reader = false, far = false;  // far: the state comes from another rack
   bool out = true, started = false, cancelled = false;
   bool ran = true;  // may have run; false once proven otherwise
   double work = 0;  // tokens to be read before it can end, those booked ahead of it included
@@ -134,10 +127,7 @@
   std::set<EngineId> failed_at;
 
   double whole() const { return what.prompt_tokens + answer_tokens; }
-  template <class Which>
-  bool any(Which which) const {
-    return std::any_of(sends.begin(), sends.end(), which);
-  }
+  bool any(auto which) const { return std::any_of(sends.begin(), sends.end(), which); }
   bool any_out() const {
     return any([](const Send& s) { return s.out; });
   }
@@ -158,25 +148,19 @@
 
   std::vector<Action> handle(Instant now, const Event& event) {
     now_ = now;
-    if (!begun_at_) {
-      begun_at_ = now;
-      if (s_.list_must_be_asked) ask_for_list();
-    }
+    if (!begun_at_ && s_.list_must_be_asked) ask_for_list();
+    if (!begun_at_) begun_at_ = now;
     std::visit([this](const auto& e) { on(e); }, event);
     // While some wait, an arrival joins them; only what may have freed a place serves the queues again.
     if (!holding_ || !std::holds_alternative<Arrived>(event)) admit();
-    if (!timer_set_ && (!infs_.empty() || s_.list_must_be_asked)) {
-      timer_set_ = true;
-      out_.push_back(SetTimer{tick, 0});
-    }
+    if (!timer_set_ && (!infs_.empty() || s_.list_must_be_asked))
+      timer_set_ = true, out_.push_back(SetTimer{tick, 0});
     for (InfId id : std::exchange(ended_, {}))
       if (const auto it = infs_.find(id); it != infs_.end() && !it->second.any_out()) infs_.erase(it);
     return std::exchange(out_, {});
   }
 
  private:
-  // --- what happened ---
-
   void on(const Arrived& a) {
     if (infs_.contains(a.inf) || s_.routes.empty()) return;
     const ModelRoute& r = route(a);
@@ -218,7 +202,7 @@
 
   void on(const SendEnded& e) {
     auto [f, s] = find(e.inf, e.send);
-    if (Engine* eng = engine(e.engine); eng && e.report) take_report(*eng, *e.report);
+    take_report(engine(e.engine), e.report);
     if (!s || !s->out) return;
     s->out = false;
     if (proves_unrun(e.as) || s->to_reader) s->ran = false;
@@ -233,24 +217,23 @@
       // Rule 5: what a send still waited for is not let go with its inference, only after the send. Covers
       // reads that outlive their inference, cancels that cross an outcome, writers failing before the fetch.
       out_.push_back(LetGo{e.inf});
-      ended_.push_back(e.inf);
-      return;
+      return ended_.push_back(e.inf);
     }
     if (f->phase == Phase::Streaming) return;
     f->held_since = now_;
     if (e.as == EndedAs::ReadDone) read_done(*f, *s, e);
     else if (e.as == EndedAs::Moot) finish(*f);
-    else if (s->to_reader) read_failed(*f, *s);
-    else write_failed(*f, *s, e);
+    else send_failed(*f, *s, e);
   }
 
   void on(const ClientLeft& e) {
-    if (const auto it = infs_.find(e.inf); it != infs_.end() && it->second.phase != Phase::Over) over(it->second);
+    const auto it = infs_.find(e.inf);
+    if (it != infs_.end() && it->second.phase != Phase::Over) over(it->second);
   }
 
   void on(const FleetListed& e) {
-    if (e.scope == ListScope::Failed) asked_ = false;
-    if (e.scope == ListScope::Failed) return;
+    asked_ = e.scope != ListScope::Failed;
+    if (!asked_) return;
     asked_at_ = now_;
     std::set<EngineId> named;
     for (const auto& entry : e.entries) {
@@ -259,11 +242,9 @@
       if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
         // A restart under the same id, or a return: nothing learnt before holds any more.
         eng = Engine{};
-        eng.cold = entry.started.has_value();
-        eng.cold_since = entry.started.value_or(Instant{});
+        eng.cold = entry.started.has_value(), eng.cold_since = entry.started.value_or(Instant{});
       }
-      eng.entry = entry;
-      eng.lifecycle = entry.lifecycle;
+      eng.entry = entry, eng.lifecycle = entry.lifecycle;
     }
     if (e.scope == ListScope::Delta) return;
     for (auto& [id, eng] : engines_)
@@ -272,21 +253,20 @@
 
   void on(const TimerFired&) {
     timer_set_ = false;
-    if (s_.list_must_be_asked && now_ - asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every)) ask_for_list();
+    if (s_.list_must_be_asked && now_ - asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every))
+      ask_for_list();
     for (auto& [id, eng] : engines_) watch(id, eng);
     for (auto& [id, f] : infs_) look_after(f);
   }
 
   void on(const ProbeEnded& e) {
     Engine* eng = engine(e.engine);
-    if (eng && e.report) take_report(*eng, *e.report);
+    take_report(eng, e.report);
     if (eng && e.as == EndedAs::Completed) eng->next_trial = now_;  // its process runs: real work may try it
   }
 
   void on(const PeerSpoke&) {}
 
-  // --- the ordinary path ---
-
   // Serves the queues: where a pair is free it is booked, the rest is held before the read.
   void admit() {
     std::vector<std::pair<double, InfId>> line;
@@ -297,14 +277,9 @@
     std::vector<Inference*> held, late;
     for (const auto& [rank, id] : line) {
       Inference& f = infs_.at(id);
-      if (!may_send(f)) {
-        if (!f.any_out()) finish(f);
-        continue;
-      }
-      if (f.ends - now_ <= needed(f) + answer_margin) {
-        finish(f, true);
-        continue;
-      }
+      if (!may_send(f)) give_up_if_idle(f);
+      else if (f.ends - now_ <= needed(f) + answer_margin) finish(f, true);
+      if (f.phase != Phase::Waiting || !may_send(f)) continue;
       if (held.size() < 3 && book(f)) continue;  // a few smaller ones may pass a large one; no more
       held.push_back(&f);
       if (now_ + needed(f) > f.target) late.push_back(&f);
@@ -313,7 +288,7 @@
     // While others can still be in time, the late are told at once, with a time to come back.
     for (Inference* f : late)
       if (on_time && !f->any_out()) finish(*f, true);
-    tell_holding(held.size());
+    tell_holding(!held.empty());
   }
 
   // Joint scoring, in seconds: weight x tokens still to read + tokens booked at the reader, by its pace; the
@@ -325,7 +300,8 @@
       const bool want_readers = readers.empty(), want_writers = writers.empty();
       for (auto& [id, e] : engines_) {
         if (!usable(f, id, e, any)) continue;
-        if (want_readers && may_read(e) && !reader_full(e, f.what.prompt_tokens)) readers[id] = reader_cost(f, e);
+        if (want_readers && may_read(e) && !reader_full(e, f.what.prompt_tokens))
+          readers[id] = reader_cost(f, e);
         if (want_writers && may_write(e) && !writer_full(e, f.whole())) writers[id] = writer_cost(e);
       }
       if ((!readers.empty() && !writers.empty()) || (!any && merely_full(f, readers.empty()))) break;
@@ -345,8 +321,6 @@
     engines_[reader].reading[f.what.inf] = std::max(1.0, to_read(f, engines_[reader]));
     engines_[writer].writing[f.what.inf] = f.whole();
     f.writer = writer;
-    f.state_at.reset();
-    f.place_at.reset();
     f.phase = own ? Phase::Answering : Phase::Reading;
     send(f, reader, !own);
     if (own || !s_.may_hold_places) return true;
@@ -364,12 +338,9 @@
     hand_over(f, e.elapsed);
   }
 
-  // The state goes to the booked writer; one that said full, left or is in doubt gives way to the next-lowest.
+  // The state goes to the booked writer; if that said full, left or is in doubt, to the next-lowest.
   void hand_over(Inference& f, Span since_asked) {
-    if (!may_send(f)) {
-      if (!f.any_out()) finish(f);
-      return;
-    }
+    if (!may_send(f)) return give_up_if_idle(f);
     std::optional<EngineId> best;
     double least = never;
     const Engine* from = engine(*f.state_at);
@@ -393,35 +364,27 @@
     send(f, *best, false);
   }
 
-  void read_failed(Inference& f, const Send& s) {
-    f.failed_at.insert(s.engine);
-    if (f.phase == Phase::Reading && !f.out_at(true)) back_to_queue(f);
-  }
-
-  void write_failed(Inference& f, const Send& s, const SendEnded& e) {
+  void send_failed(Inference& f, const Send& s, const SendEnded& e) {
     f.failed_at.insert(s.engine);
+    if (s.to_reader && f.phase == Phase::Reading && !f.out_at(true)) return back_to_queue(f);
+    if (s.to_reader) return;
     if (f.place_at == s.engine) f.place_at.reset();
     if (f.phase != Phase::Answering || f.out_at(false)) return;
     if (f.writer == s.engine) f.writer.reset();
     if (e.no_state) f.state_at.reset();
-    if (f.state_at) {
-      f.phase = Phase::Handing;
-      hand_over(f, tick);
-    } else if (f.out_at(true)) {
-      f.phase = Phase::Reading;
-    } else {
-      back_to_queue(f);
-    }
+    if (f.state_at) f.phase = Phase::Handing, hand_over(f, tick);
+    else if (f.out_at(true)) f.phase = Phase::Reading;
+    else back_to_queue(f);
   }
 
   void back_to_queue(Inference& f) {
     unbook(f);
     out_.push_back(LetGo{f.what.inf});  // a failed writer may still hold a place that nothing here remembers
     f.phase = Phase::Waiting;
-    if (!may_send(f) && !f.any_out()) finish(f);
+    if (!may_send(f)) give_up_if_idle(f);
   }
 
-  // --- scores, ledgers, fullness ---
+  void give_up_if_idle(Inference& f) { f.any_out() ? void() : finish(f); }
 
   double reader_cost(const Inference& f, const Engine& e) {
     double waiting = booked(e.reading);
@@ -449,11 +412,11 @@
 
   // Other fronts' reads: each front is taken to have the mean of what this one has at such engines.
   bool reader_full(const Engine& e, double need) {
-    if (e.full_until > now_) return true;
-    if (e.reading.empty()) return false;
+    if (e.full_until > now_ || e.reading.empty()) return e.full_until > now_;
     std::vector<double> all;
     for (auto& [id, other] : engines_)
-      if (other.entry.kind == e.entry.kind && other.lifecycle == Lifecycle::Ready) all.push_back(booked(other.reading));
+      if (other.entry.kind == e.entry.kind && other.lifecycle == Lifecycle::Ready)
+        all.push_back(booked(other.reading));
     const double mean = sum(all) / std::max<double>(1, static_cast<double>(all.size()));
     const double tokens = booked(e.reading) + (s_.fronts - 1) * mean;
     if (tokens + need > memory(e)) return true;
@@ -471,8 +434,9 @@
     double found = 0;
     for (const auto& [key, most] : {std::pair{f.what.session, f.what.prompt_tokens},
                                     std::pair{f.what.shared_text, f.what.shared_tokens}})
-      if (const auto it = e.kept.find(key); key != 0 && it != e.kept.end() && it->second.touched >= e.kept_since)
-        found = std::max(found, std::min(it->second.tokens, most));
+      if (const auto it = e.kept.find(key);
+          key != 0 && it != e.kept.end() && it->second.second >= e.kept_since)
+        found = std::max(found, std::min(it->second.first, most));
     return std::max(0.0, f.what.prompt_tokens - found);
   }
 
@@ -482,26 +446,24 @@
     if (found < (f.what.prompt_tokens - to_read(f, e)) / 2) {
       Instant oldest = now_;
       for (TextKey key : {f.what.session, f.what.shared_text})
-        if (const auto it = e.kept.find(key); it != e.kept.end()) oldest = std::min(oldest, it->second.touched);
+        if (const auto it = e.kept.find(key); it != e.kept.end())
+          oldest = std::min(oldest, it->second.second);
       e.kept_since = std::max(e.kept_since, oldest + Span::micros(1));
     }
     if (f.what.session) e.kept[f.what.session] = {f.what.prompt_tokens, now_};
     if (f.what.shared_text) e.kept[f.what.shared_text] = {f.what.shared_tokens, now_};
     if (e.kept.size() <= texts_kept) return;
-    std::vector<Instant> touched;
-    for (const auto& [key, k] : e.kept) touched.push_back(k.touched);
-    std::nth_element(touched.begin(), touched.begin() + texts_kept / 2, touched.end());
-    std::erase_if(e.kept, [&](const auto& k) { return k.second.touched < touched[texts_kept / 2]; });
+    std::erase_if(e.kept, [&](const auto& k) { return k.second.second < now_ - text_life; });
   }
 
-  // Tokens a second that readers of a kind were lately seen to reach where little stood in the way: the median
-  // would count the queues of other fronts as slow reading, and hold ever more the longer they get.
+  // Tokens a second that readers of a kind were lately seen to reach where little stood in the way: the
+  // median would count the queues of other fronts as slow reading, and hold ever more the longer they get.
   double rate(std::uint8_t kind) {
     if (rates_at_ != now_) rates_.clear(), rates_at_ = now_;
     if (const auto it = rates_.find(kind); it != rates_.end()) return it->second;
     std::vector<double> all;
     for (auto& [id, e] : engines_)
-      if (e.entry.kind == kind) e.pace.pour(now_ - sample_life, all);
+      if (e.entry.kind == kind) all = e.pace.since(now_ - sample_life, std::move(all));
     return rates_[kind] = 1.0 / quantile(std::move(all), 0.25, 1.0 / no_rate);
   }
 
@@ -510,7 +472,8 @@
     const auto samples = stage(e) == Stage::Read ? &Engine::pace : &Engine::first_token;
     std::vector<double> peers;
     for (auto& [id, other] : engines_)
-      if (other.entry.kind == e.entry.kind) (other.*samples).pour(now_ - sample_life, peers);
+      if (other.entry.kind == e.entry.kind)
+        peers = (other.*samples).since(now_ - sample_life, std::move(peers));
     const auto own = (e.*samples).since(now_ - sample_life);
     if (own.size() < 3 || peers.size() < 2 * own.size()) return 1;
     return std::max(1.0, quantile(own, 0.5, 1) / quantile(std::move(peers), 0.5, 1));
@@ -537,13 +500,12 @@
       }
       if (peers > 0) break;
     }
-    const double per_s = sends / std::max(1.0, peers) / over.seconds() * s_.cold_from * s_.fall_multiple * cold_share;
+    const double part = s_.cold_from * s_.fall_multiple * cold_share;
     const double least = cold_least / std::max(0.1, s_.fall.seconds()) / s_.fronts;
-    return (now_ - e.sends.back()).seconds() >= 1.0 / std::max(per_s, least);
+    return (now_ - e.sends.back()).seconds() >=
+           1.0 / std::max(sends / std::max(1.0, peers) / over.seconds() * part, least);
   }
 
-  // --- who may take what ---
-
   Stage stage(const Engine& e) const {
     return e.entry.kind < s_.kinds.size() ? s_.kinds[e.entry.kind].stage : Stage::Both;
   }
@@ -564,11 +526,10 @@
 
   // Whether the role has sound engines that are only full, so that waiting makes sense.
   bool merely_full(const Inference& f, bool read) const {
-    return std::any_of(engines_.begin(), engines_.end(), [&](const auto& at) {
-      const Engine& e = at.second;
-      return e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(at.first) &&
-             (read ? may_read(e) : may_write(e));
-    });
+    for (const auto& [id, e] : engines_)
+      if (e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(id))
+        if (read ? may_read(e) : may_write(e)) return true;
+    return false;
   }
 
   // Rule 2: sends that may have run bind the further ones to their group and window.
@@ -589,7 +550,8 @@
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return false;
     if (static_cast<int>(f.sends.size()) >= s_.max_sends || f.ends - now_ <= answer_margin) return false;
     if (!s_.second_copies && f.any_out()) return false;
-    return route(f.what).effect != Effect::NonRetriable || !f.any([](const Send& s) { return s.out || s.ran; });
+    return route(f.what).effect != Effect::NonRetriable ||
+           !f.any([](const Send& s) { return s.out || s.ran; });
   }
 
   bool may_shed(const Inference& f) const {
@@ -599,14 +561,9 @@
     return !f.any([](const Send& s) { return s.out || s.ran; });
   }
 
-  // --- sends and their ends ---
-
   void send(Inference& f, const EngineId& to, bool to_reader) {
     Engine& e = engines_[to];
-    Send s;
-    s.engine = to;
-    s.at = now_;
-    s.to_reader = to_reader;
+    Send s{.engine = to, .at = now_, .to_reader = to_reader};
     if (const auto own = e.reading.find(f.what.inf); to_reader) s.work = booked(e.reading);
     else if (own != e.reading.end()) s.work = own->second;
     if (const Engine* from = !to_reader && f.state_at ? engine(*f.state_at) : nullptr)
@@ -653,8 +610,6 @@
     f.place_at.reset();
   }
 
-  // --- health ---
-
   // Since its last sign, or since the oldest thing still awaited was asked for: an idle engine is not silent.
   Span silence(const Engine& e) const {
     Instant oldest = now_;
@@ -675,7 +630,7 @@
     auto gaps = e.gaps.since(Instant{});
     if (gaps.size() < 4)
       for (const auto& [id, other] : engines_)
-        if (other.entry.kind == e.entry.kind) other.gaps.pour(Instant{}, gaps);
+        if (other.entry.kind == e.entry.kind) gaps = other.gaps.since(Instant{}, std::move(gaps));
     if (gaps.size() < 4) return smallest_target_ * 0.5;
     const auto n = static_cast<double>(gaps.size());
     const double mean = sum(gaps) / n, most = *std::max_element(gaps.begin(), gaps.end());
@@ -698,16 +653,15 @@
 
   void doubt(const EngineId& id, Engine& e, bool silent, double seen, double usual) {
     if (e.doubted) return;
-    e.doubted = true;
-    e.silent = silent;
-    e.trial_out = false;
+    e.doubted = true, e.silent = silent, e.trial_out = false;
     e.next_trial = now_ + trial_every;
-    say(id, silent ? "doubted: silent for %.0f ms, usual %.0f" : "doubted: %.0f of %.0f sends failed", seen, usual);
+    say(silent ? "doubted: silent for %.0f ms, usual %.0f" : "doubted: %.0f of %.0f sends failed", seen,
+        usual, &id);
   }
 
   void trust(const EngineId& id, Engine& e) {
     e.doubted = e.silent = e.trial_out = false;
-    say(id, "trusted again", 0, 0);
+    say("trusted again", 0, 0, &id);
   }
 
   void judge(const EngineId& id, Engine& e, const Send& s, const SendEnded& end) {
@@ -737,25 +691,20 @@
     if (!s.far) e->first_token.add(now_, per_1000);
   }
 
-  void take_report(Engine& e, const LoadReport& r) {
-    e.report = r;
-    e.report_at = now_;
-    e.booked_at_report = booked(e.writing);
+  void take_report(Engine* e, const std::optional<LoadReport>& r) {
+    if (e && r) e->report = r, e->report_at = now_, e->booked_at_report = booked(e->writing);
   }
   bool fresh(const Engine& e) const { return e.report && now_ - e.report_at < report_life; }
   bool tells_memory(const Engine& e) const { return fresh(e) && e.report->memory_share; }
 
-  // --- by timer ---
-
   void look_after(Inference& f) {
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return;
     if (f.ends - now_ <= answer_margin) return finish(f);
     if (f.phase == Phase::Handing && !f.any_out()) {
       hand_over(f, tick);
       if (f.phase == Phase::Handing && pin_is_near(f)) back_to_queue(f);
-    } else if (f.phase == Phase::Reading || f.phase == Phase::Answering) {
-      rescue(f);
     }
+    if (f.phase == Phase::Reading || f.phase == Phase::Answering) rescue(f);
   }
 
   // What waits for a doubted engine, and has not begun, goes elsewhere: a read as a second copy, an answer to
@@ -768,12 +717,9 @@
       if (e && (!e->doubted || now_ - s.at < patience(*e))) continue;
       if (s_.second_copies && !may_send(f)) return;
       f.failed_at.insert(s.engine);
-      if (s_.second_copies && s.to_reader) {
-        second_read(f);
-      } else {
-        cancel(f, f.sends[k]);  // its outcome brings the next send, if this does not
-        if (s_.second_copies && f.state_at) f.phase = Phase::Handing, hand_over(f, tick);
-      }
+      if (s_.second_copies && s.to_reader) return second_read(f);
+      cancel(f, f.sends[k]);  // its outcome brings the next send, if this does not
+      if (s_.second_copies && f.state_at) f.phase = Phase::Handing, hand_over(f, tick);
       return;
     }
   }
@@ -791,13 +737,16 @@
 
   bool pin_is_near(const Inference& f) const { return now_ - f.held_since > s_.pin_limit - tick * 3; }
 
-  // --- order ---
+  double least_at_readers(auto measure) const {
+    double least = never;
+    for (const auto& [id, e] : engines_)
+      if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e)) least = std::min(least, measure(e));
+    return least;
+  }
 
   // Until its first token, if it were booked now: the cheapest read, and what lately came after reads.
   Span needed(const Inference& f) {
-    double least = never;
-    for (auto& [id, e] : engines_)
-      if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e)) least = std::min(least, reader_cost(f, e));
+    const double least = least_at_readers([&](const Engine& e) { return reader_cost(f, e); });
     const double after = quantile(after_read_.since(now_ - sample_life), 0.75, 0.05);
     return Span::from_seconds((least < never ? least : 0.0) + after);
   }
@@ -813,13 +762,8 @@
     if (served_.size() > 1 && worst == index(f.what)) worth += s_.worst_route_weight * 2;
     if (now_ + needed(f) > f.target) worth *= route(f.what).late_value;
     if (f.what.resumed) worth *= 2;
-    double cost = f.whole();
-    if (f.waits_for == Stage::Read) {
-      cost = f.what.prompt_tokens;
-      for (auto& [id, e] : engines_)
-        if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e)) cost = std::min(cost, to_read(f, e));
-      cost += read_overhead;
-    }
+    double cost = std::min(least_at_readers([&](const Engine& e) { return to_read(f, e); }), f.whole());
+    cost = f.waits_for == Stage::Read ? cost + read_overhead : f.whole();
     return worth * (f.what.prompt_tokens + answer_work * f.answer_tokens) / std::max(1.0, cost);
   }
 
@@ -829,11 +773,8 @@
   }
   void count_served(const Inference& f, bool in_time) { served_[index(f.what)].add(now_, in_time ? 1 : 0); }
 
-  // --- small things ---
-
   void ask_for_list() {
-    asked_ = true;
-    asked_at_ = now_;
+    asked_ = true, asked_at_ = now_;
     out_.push_back(Subscribe{true});
   }
 
@@ -851,26 +792,26 @@
     return {&it->second, &it->second.sends[k]};
   }
 
-  void tell_holding(std::size_t held) {
-    const bool was = std::exchange(holding_, held > 0);
-    if (was == holding_ || (told_at_ && now_ - *told_at_ < Span::millis(2000))) return;
+  void tell_holding(bool held) {
+    if (std::exchange(holding_, held) == held || (told_at_ && now_ - *told_at_ < Span::millis(2000))) return;
     told_at_ = now_;
     double load = 0, backlog = 0;
     for (const auto& [id, e] : engines_)
       if (may_write(e)) load = std::max(load, writer_load(e) / memory(e));
       else backlog = std::max(backlog, booked(e.reading) / rate(e.entry.kind));
-    char text[128];
-    std::snprintf(text, sizeof text, "holding %s: %zu held; fullest writer %.2f, longest read %.2f s",
-                  holding_ ? "on" : "off", held, load, backlog);
-    out_.push_back(Log{text});
+    say(holding_ ? "holding on: fullest writer %.2f, longest read %.2f s"
+                 : "holding off: fullest writer %.2f, longest read %.2f s",
+        load, backlog);
   }
 
-  void say(const EngineId& id, const char* what, double a, double b) {
-    char name[32], text[96];
-    std::snprintf(name, sizeof name, "%d.%d.%d.%d:%d ", id.address[0], id.address[1], id.address[2], id.address[3],
-                  id.port);
+  void say(const char* what, double a, double b, const EngineId* id = nullptr) {
+    char text[128];
     std::snprintf(text, sizeof text, what, a, b);
-    out_.push_back(Log{std::string(name) + text});
+    std::string who;
+    if (id)
+      for (int part : id->address) who += std::to_string(part) + '.';
+    if (id) who.back() = ':', who += std::to_string(id->port) + ' ';
+    out_.push_back(Log{who + text});
   }
 
   const Settings s_;
@@ -888,7 +829,8 @@
   std::vector<Action> out_;
 };
 
-Router::Router(std::uint64_t seed, const Settings& settings) : desk_(std::make_unique<Desk>(seed, settings)) {}
+Router::Router(std::uint64_t seed, const Settings& settings)
+    : desk_(std::make_unique<Desk>(seed, settings)) {}
 Router::~Router() = default;
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -38,7 +38,8 @@
   while (fill(head, batch_header_size, true, "a batch's header")) {
     const BatchHeader header = read_header(head);
     const std::string batch = "batch " + std::to_string(header.number);
-    for (std::size_t got = 0; got < header.length;) {  // in pieces: a wrong length must not ask for 4 GB at once
+    for (std::size_t got = 0;
+         got < header.length;) {  // in pieces: a wrong length must not ask for 4 GB at once
       std::vector<std::uint8_t> piece;
       const std::size_t want = std::min<std::size_t>(header.length - got, 1 << 22);
       if (got == 0 && want == header.length) {
@@ -65,7 +66,8 @@
                                                       std::move(decoded.report_fields)});
         } else if (const auto it = instances.find(record.instance); it != instances.end()) {
           attach(record.event, name_report(record.report, it->second.report_fields));
-          for (const Action& a : it->second.router.handle(header.now, record.event)) reply.add(record.instance, a);
+          for (const Action& a : it->second.router.handle(header.now, record.event))
+            reply.add(record.instance, a);
         }
       } catch (const WireError& e) {
         reader.fail(e.what());
--- a/src/simhost/settings.cpp
+++ b/src/simhost/settings.cpp
@@ -69,7 +69,8 @@
   static double parse(const std::string& path, std::string_view text) {
     double v = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), v);
-    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(v)) bad(path, text, "is no number");
+    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(v))
+      bad(path, text, "is no number");
     return v;
   }
   std::map<std::string, std::string_view> values_;
@@ -112,13 +113,15 @@
         Effect::NonRetriable);
     r.dedupe_group = choice<DedupeGroup>(
         p, at + "key_scope",
-        {{"all", DedupeGroup::All}, {"zone", DedupeGroup::Zone}, {"cell", DedupeGroup::Rack}}, DedupeGroup::Rack);
+        {{"all", DedupeGroup::All}, {"zone", DedupeGroup::Zone}, {"cell", DedupeGroup::Rack}},
+        DedupeGroup::Rack);
     r.dedupe_window = p.span(at + "window");
     r.value = p.number(at + "worth", 1);
     r.late_value = p.number(at + "late_worth", 0);
     if (n < paces.size()) r.token_pace = Pairs::to_span("family_info.token_aim", paces[n]);
     if (n < growth.size())
-      r.target_per_1000_tokens = Pairs::to_span("family_info.aim_us_per_1000_prompt_tokens", growth[n] / 1000.0);
+      r.target_per_1000_tokens =
+          Pairs::to_span("family_info.aim_us_per_1000_prompt_tokens", growth[n] / 1000.0);
     s.routes.push_back(r);
   }
   const auto memory = p.numbers("family_info.kind_memory_tokens");
@@ -157,11 +160,14 @@
   s.whole_weight = p.number("blend.whole", 1);
   s.worst_route_weight = p.number("blend.worst_class", 0);
 
-  const std::map<std::string_view, ReportField> known = {
-      {"busy_reqs", ReportField::Held},      {"pending", ReportField::Waiting},
-      {"cpu_share", ReportField::Slots},     {"svc_ms", ReportField::Service},
-      {"served_ps", ReportField::Completed}, {"failed_ps", ReportField::Failed},
-      {"x0", meaning(p.word("family_info.report_x0"))}, {"x1", meaning(p.word("family_info.report_x1"))}};
+  const std::map<std::string_view, ReportField> known = {{"busy_reqs", ReportField::Held},
+                                                         {"pending", ReportField::Waiting},
+                                                         {"cpu_share", ReportField::Slots},
+                                                         {"svc_ms", ReportField::Service},
+                                                         {"served_ps", ReportField::Completed},
+                                                         {"failed_ps", ReportField::Failed},
+                                                         {"x0", meaning(p.word("family_info.report_x0"))},
+                                                         {"x1", meaning(p.word("family_info.report_x1"))}};
   for (auto word : p.words("report.fields")) {
     const auto it = known.find(word);
     d.report_fields.push_back(it == known.end() ? ReportField::Unknown : it->second);
--- a/src/simhost/wire.hpp
+++ b/src/simhost/wire.hpp
@@ -69,7 +69,8 @@
   const char* name_ = "record";
 };
 
-std::optional<LoadReport> name_report(const std::vector<float>& values, const std::vector<ReportField>& fields);
+std::optional<LoadReport> name_report(const std::vector<float>& values,
+                                      const std::vector<ReportField>& fields);
 
 // Builds a reply in a buffer that is used again for the next batch.
 class ReplyWriter {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -43,7 +43,8 @@
       const int how = pick(12);
       if (sent.cancelled && how < 8) w.end(id, k, EndedAs::Cancelled);
       else if (sent.started) w.end(id, k, how < 9 ? EndedAs::Completed : EndedAs::Reset);
-      else if (sent.reader && how < 9) w.end(id, k, EndedAs::ReadDone, false, static_cast<std::uint32_t>(pick(900)));
+      else if (sent.reader && how < 9)
+        w.end(id, k, EndedAs::ReadDone, false, static_cast<std::uint32_t>(pick(900)));
       else if (how < 7 && !f.over) w.start(id, k);
       else if (how == 7) w.end(id, k, EndedAs::Full, !sent.reader);
       else if (how == 8) w.end(id, k, EndedAs::Full);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -62,7 +62,8 @@
 
 TEST(Wire, DecodesSettingsAndNamesReports) {
   const auto d = decode_settings(
-      "classes.count=1\nclasses.0.effect=keyed\nclasses.0.key_scope=cell\nfamily_info.stage_of_kind=read,both\n"
+      "classes.count=1\nclasses.0.effect=keyed\nclasses.0.key_scope=cell\nfamily_info.stage_of_kind=read,"
+      "both\n"
       "family_info.kind_memory_tokens=5,6\nreport.fields=x0,new_one\nfamily_info.report_x0="
       "share_of_memory_that_is_held\nnot.known=1\n");
   EXPECT_EQ(d.settings.routes.at(0).dedupe_group, DedupeGroup::Rack);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -150,8 +150,8 @@
   std::size_t sends(InfId id) { return infs.at(id).sends.size(); }
   template <class A>
   int count() const {
-    return static_cast<int>(
-        std::count_if(last.begin(), last.end(), [](const Action& a) { return std::holds_alternative<A>(a); }));
+    return static_cast<int>(std::count_if(last.begin(), last.end(),
+                                          [](const Action& a) { return std::holds_alternative<A>(a); }));
   }
 
  private:
@@ -211,10 +211,13 @@
   void act(const Shed& a) {
     Inf& f = infs.at(a.inf);
     const ModelRoute& r = settings.routes[f.what.route];
-    const bool loose = std::any_of(f.sends.begin(), f.sends.end(), [](const Sent& s) { return s.ran || s.out; });
-    const bool ran = std::any_of(f.sends.begin(), f.sends.end(), [](const Sent& s) { return s.ran && !s.reader; });
+    const bool loose =
+        std::any_of(f.sends.begin(), f.sends.end(), [](const Sent& s) { return s.ran || s.out; });
+    const bool ran =
+        std::any_of(f.sends.begin(), f.sends.end(), [](const Sent& s) { return s.ran && !s.reader; });
     if (r.effect == Effect::NonRetriable && loose) flaw("rule 2: shed though it may have run");
-    if (r.effect == Effect::Deduped && r.dedupe_group != DedupeGroup::All && ran) flaw("rule 2: shed, deduped");
+    if (r.effect == Effect::Deduped && r.dedupe_group != DedupeGroup::All && ran)
+      flaw("rule 2: shed, deduped");
     f.shed = true;
     final(f);
   }
@@ -234,7 +237,8 @@
 
   void check() {
     for (auto& [id, f] : infs) {
-      const bool streaming = std::any_of(f.sends.begin(), f.sends.end(), [](const Sent& s) { return s.started; });
+      const bool streaming =
+          std::any_of(f.sends.begin(), f.sends.end(), [](const Sent& s) { return s.started; });
       if (!f.over && !streaming && now > f.ends) flaw("rule 1: no final answer");
       if (f.finals > 1) flaw("rule 1: two final answers");
       if (f.holds && !f.any_out() && now - f.free_since > settings.pin_limit) flaw("rule 5: pinned");
