--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -35,17 +35,16 @@
 constexpr Span rate_window = Span::millis(8000);  // over which sends to warm peers are counted
 constexpr std::size_t samples_kept = 16;
 constexpr std::size_t sends_kept = 256;
-constexpr std::size_t texts_kept = 4096;
-constexpr Span text_life = Span::millis(120000);  // beyond that many, those untouched for so long go
-constexpr double read_weight = 1.0;               // of prompt tokens still to read, against tokens booked
-constexpr double writer_memory_bound = 0.9;       // where a report tells of it
-constexpr double unseen_memory_bound = 1.4;       // of own load times fronts, which are unevenly busy
-constexpr double reader_wait_bound = 0.5;         // of the smallest first-token target
-constexpr double mixed_wait_bound = 0.25;         // likewise: its reads slow its answers
-constexpr double writer_seconds = 1.0;  // what a writer's full memory costs, against seconds of reading
-constexpr double far_seconds = 5.0;     // what the price of a move to another rack costs, likewise
-constexpr double cold_share = 0.7;      // of the cold budget that is used
-constexpr double cold_least = 0.3;      // sends in the fall window, all fronts, where no peer shows more
+constexpr std::size_t texts_kept = 16384;
+constexpr double read_weight = 1.0;          // of prompt tokens still to read, against tokens booked
+constexpr double writer_memory_bound = 0.9;  // where a report tells of it
+constexpr double unseen_memory_bound = 1.4;  // of own load times fronts, which are unevenly busy
+constexpr double reader_wait_bound = 0.5;    // of the smallest first-token target
+constexpr double mixed_wait_bound = 0.25;    // likewise: its reads slow its answers
+constexpr double writer_seconds = 1.0;       // what a writer's full memory costs, against seconds of reading
+constexpr double far_seconds = 5.0;          // what the price of a move to another rack costs, likewise
+constexpr double cold_share = 0.7;           // of the cold budget that is used
+constexpr double cold_least = 0.3;           // sends in the fall window, all fronts, where no peer shows more
 constexpr double silence_deviations = 6.0;
 constexpr double failing_share = 0.25;
 constexpr double read_overhead = 500;  // a read's fixed part, in tokens
@@ -102,6 +101,7 @@
   bool cold = false, doubted = false, silent = false, trial_out = false;
   std::optional<LoadReport> report;
   double booked_at_report = 0;
+  mutable std::pair<Instant, double> slow;  // slowness, as worked out at that time
 };
 
 struct Send {
@@ -148,11 +148,15 @@
 
   std::vector<Action> handle(Instant now, const Event& event) {
     now_ = now;
-    if (!begun_at_ && s_.list_must_be_asked) ask_for_list();
     if (!begun_at_) begun_at_ = now;
+    if (s_.list_must_be_asked &&
+        (!asked_at_ || now_ - *asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every)))
+      asked_ = true, asked_at_ = now_, out_.push_back(Subscribe{true});
     std::visit([this](const auto& e) { on(e); }, event);
-    // While some wait, an arrival joins them; only what may have freed a place serves the queues again.
-    if (!holding_ || !std::holds_alternative<Arrived>(event)) admit();
+    // While some wait, an arrival joins them; only what may have freed a place serves the queues again, in
+    // the order of the last timer, so that a long queue costs little for each event.
+    const bool anew = !holding_ || std::holds_alternative<TimerFired>(event);
+    if (anew || !std::holds_alternative<Arrived>(event)) admit(anew);
     if (!timer_set_ && (!infs_.empty() || s_.list_must_be_asked))
       timer_set_ = true, out_.push_back(SetTimer{tick, 0});
     for (InfId id : std::exchange(ended_, {}))
@@ -237,8 +241,7 @@
     asked_at_ = now_;
     std::set<EngineId> named;
     for (const auto& entry : e.entries) {
-      named.insert(entry.engine);
-      Engine& eng = engines_[entry.engine];
+      Engine& eng = engines_[*named.insert(entry.engine).first];
       if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
         // A restart under the same id, or a return: nothing learnt before holds any more.
         eng = Engine{};
@@ -253,8 +256,6 @@
 
   void on(const TimerFired&) {
     timer_set_ = false;
-    if (s_.list_must_be_asked && now_ - asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every))
-      ask_for_list();
     for (auto& [id, eng] : engines_) watch(id, eng);
     for (auto& [id, f] : infs_) look_after(f);
   }
@@ -268,15 +269,18 @@
   void on(const PeerSpoke&) {}
 
   // Serves the queues: where a pair is free it is booked, the rest is held before the read.
-  void admit() {
-    std::vector<std::pair<double, InfId>> line;
-    bool on_time = false;
+  void admit(bool anew) {
+    if (anew) line_.clear();
     for (auto& [id, f] : infs_)
-      if (f.phase == Phase::Waiting) line.emplace_back(-urgency(f), id);
-    std::sort(line.begin(), line.end());
+      if (anew && f.phase == Phase::Waiting) line_.emplace_back(-urgency(f), id);
+    if (anew) std::sort(line_.begin(), line_.end());
+    bool on_time = false;
     std::vector<Inference*> held, late;
-    for (const auto& [rank, id] : line) {
-      Inference& f = infs_.at(id);
+    for (const auto& [rank, id] : line_) {
+      const auto it = infs_.find(id);
+      if (it == infs_.end() || it->second.phase != Phase::Waiting) continue;
+      if (!anew && held.size() >= 3) break;
+      Inference& f = it->second;
       if (!may_send(f)) give_up_if_idle(f);
       else if (f.ends - now_ <= needed(f) + answer_margin) finish(f, true);
       if (f.phase != Phase::Waiting || !may_send(f)) continue;
@@ -287,7 +291,7 @@
     }
     // While others can still be in time, the late are told at once, with a time to come back.
     for (Inference* f : late)
-      if (on_time && !f->any_out()) finish(*f, true);
+      if (anew && on_time && !f->any_out()) finish(*f, true);
     tell_holding(!held.empty());
   }
 
@@ -301,7 +305,7 @@
       for (auto& [id, e] : engines_) {
         if (!usable(f, id, e, any)) continue;
         if (want_readers && may_read(e) && !reader_full(e, f.what.prompt_tokens))
-          readers[id] = reader_cost(f, e);
+          readers[id] = reader_cost(f, e) + way_cost(nullptr, e);
         if (want_writers && may_write(e) && !writer_full(e, f.whole())) writers[id] = writer_cost(e);
       }
       if ((!readers.empty() && !writers.empty()) || (!any && merely_full(f, readers.empty()))) break;
@@ -313,7 +317,7 @@
       for (const auto& [w, write] : writers) {
         const Engine &re = engines_[r], &we = engines_[w];
         if (reads_itself(re) && r != w) continue;
-        const double cost = read + write + (r == w ? 0.0 : way_cost(re, we));
+        const double cost = read + write + (r == w ? 0.0 : way_cost(&re, we));
         if (cost < least) least = cost, reader = r, writer = w;
       }
     if (least == never) return false;
@@ -324,8 +328,7 @@
     f.phase = own ? Phase::Answering : Phase::Reading;
     send(f, reader, !own);
     if (own || !s_.may_hold_places) return true;
-    f.place_at = writer;
-    f.place_held.reset();
+    f.place_at = writer, f.place_held.reset();
     out_.push_back(HoldPlace{f.what.inf, writer});
     return true;
   }
@@ -333,8 +336,7 @@
   void read_done(Inference& f, const Send& s, const SendEnded& e) {
     if (Engine* eng = engine(s.engine)) learn(f, *eng, e.kept_tokens);
     if (f.phase == Phase::Answering) return;  // a second read, after the first one's state went on
-    f.state_at = s.engine;
-    f.phase = Phase::Handing;
+    f.state_at = s.engine, f.phase = Phase::Handing;
     hand_over(f, e.elapsed);
   }
 
@@ -351,7 +353,7 @@
         const bool refused = f.place_at == id && !f.place_held.value_or(since_asked < tick);
         const bool keeps = f.writer == id && !refused && !e.doubted;
         if (!any && !keeps && (refused || writer_full(e, f.whole()))) continue;
-        const double cost = keeps ? -1 : writer_cost(e) + (from ? way_cost(*from, e) : 0.0);
+        const double cost = keeps ? -1 : writer_cost(e) + way_cost(from, e);
         if (cost < least) best = id, least = cost;
       }
       if (best || !pin_is_near(f)) break;
@@ -424,9 +426,10 @@
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * bound;
   }
 
-  double way_cost(const Engine& from, const Engine& to) const {
-    if (from.entry.rack == to.entry.rack) return 0;
-    return far_seconds * (s_.far_price + (from.entry.zone != to.entry.zone ? s_.zone_price : 0.0));
+  // The price of a send to another zone and, if a state moves, of a move to another rack.
+  double way_cost(const Engine* from, const Engine& to) const {
+    const double far = from && from->entry.rack != to.entry.rack ? s_.far_price : 0.0;
+    return far_seconds * (far + (to.entry.zone != s_.zone ? s_.zone_price : 0.0));
   }
 
   // What of the prompt this reader should not have kept.
@@ -452,8 +455,7 @@
     }
     if (f.what.session) e.kept[f.what.session] = {f.what.prompt_tokens, now_};
     if (f.what.shared_text) e.kept[f.what.shared_text] = {f.what.shared_tokens, now_};
-    if (e.kept.size() <= texts_kept) return;
-    std::erase_if(e.kept, [&](const auto& k) { return k.second.second < now_ - text_life; });
+    if (e.kept.size() > texts_kept) e.kept.clear();  // a bound for long lives; it fills again within seconds
   }
 
   // Tokens a second that readers of a kind were lately seen to reach where little stood in the way: the
@@ -469,6 +471,8 @@
 
   // Pace against the peers of its kind; a fleet that is slow as a whole has nobody slow in it.
   double slowness(const Engine& e) {
+    if (e.slow.first == now_) return e.slow.second;
+    e.slow = {now_, 1.0};
     const auto samples = stage(e) == Stage::Read ? &Engine::pace : &Engine::first_token;
     std::vector<double> peers;
     for (auto& [id, other] : engines_)
@@ -476,7 +480,7 @@
         peers = (other.*samples).since(now_ - sample_life, std::move(peers));
     const auto own = (e.*samples).since(now_ - sample_life);
     if (own.size() < 3 || peers.size() < 2 * own.size()) return 1;
-    return std::max(1.0, quantile(own, 0.5, 1) / quantile(std::move(peers), 0.5, 1));
+    return e.slow.second = std::max(1.0, quantile(own, 0.5, 1) / quantile(std::move(peers), 0.5, 1));
   }
 
   bool is_cold(const Engine& e) const { return e.cold && now_ - e.cold_since < s_.cold; }
@@ -773,11 +777,6 @@
   }
   void count_served(const Inference& f, bool in_time) { served_[index(f.what)].add(now_, in_time ? 1 : 0); }
 
-  void ask_for_list() {
-    asked_ = true, asked_at_ = now_;
-    out_.push_back(Subscribe{true});
-  }
-
   std::size_t index(const Arrived& a) const { return std::min<std::size_t>(a.route, s_.routes.size() - 1); }
   const ModelRoute& route(const Arrived& a) const { return s_.routes[index(a)]; }
 
@@ -788,8 +787,8 @@
 
   std::pair<Inference*, Send*> find(InfId inf, std::size_t k) {
     const auto it = infs_.find(inf);
-    if (it == infs_.end() || k >= it->second.sends.size()) return {nullptr, nullptr};
-    return {&it->second, &it->second.sends[k]};
+    const bool known = it != infs_.end() && k < it->second.sends.size();
+    return known ? std::pair{&it->second, &it->second.sends[k]} : std::pair<Inference*, Send*>{};
   }
 
   void tell_holding(bool held) {
@@ -817,14 +816,15 @@
   const Settings s_;
   std::mt19937 random_;
   Span smallest_target_;
-  Instant now_, asked_at_, rates_at_;
-  std::optional<Instant> begun_at_, told_at_;
+  Instant now_, rates_at_;
+  std::optional<Instant> begun_at_, told_at_, asked_at_;
   bool timer_set_ = false, asked_ = false, holding_ = false;
   std::map<EngineId, Engine> engines_;
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
   LastFew after_read_;
   std::map<std::uint8_t, double> rates_;
+  std::vector<std::pair<double, InfId>> line_;  // those that wait, most urgent first
   std::vector<InfId> ended_;
   std::vector<Action> out_;
 };
