A writer with a near fetch not begun for 150 ms counts as full

The wait of an own fetch is a queue seen from outside. It also covers hangs and memory that ran out; a slow near port could raise it falsely.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -33,24 +33,21 @@
 constexpr Span trial_every = Span::millis(1000);
 constexpr Span report_life = Span::millis(3000);
 constexpr Span rate_window = Span::millis(8000);  // over which sends to warm peers are counted
-constexpr std::size_t samples_kept = 16;
-constexpr std::size_t sends_kept = 256;
-constexpr std::size_t texts_kept = 16384;
-constexpr double read_weight = 1.0;          // of prompt tokens still to read, against tokens booked
-constexpr double writer_memory_bound = 0.9;  // where a report tells of it
-constexpr double unseen_memory_bound = 1.4;  // of own load times fronts, which are unevenly busy
-constexpr double reader_wait_bound = 0.5;    // of the smallest first-token target
-constexpr double mixed_wait_bound = 0.25;    // likewise: its reads slow its answers
-constexpr double writer_seconds = 1.0;       // what a writer's full memory costs, against seconds of reading
-constexpr double far_seconds = 5.0;          // what the price of a move to another rack costs, likewise
-constexpr double cold_share = 0.7;           // of the cold budget that is used
-constexpr double cold_least = 0.3;           // sends in the fall window, all fronts, where no peer shows more
+constexpr std::size_t samples_kept = 16, sends_kept = 256, texts_kept = 16384;
+constexpr Span queue_sign = Span::millis(150);  // a near fetch not begun for so long waits in a queue
+constexpr double read_weight = 1.0;             // of prompt tokens still to read, against tokens booked
+constexpr double writer_memory_bound = 0.9;     // where a report tells of it
+constexpr double unseen_memory_bound = 1.4;     // of own load times fronts, which are unevenly busy
+constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
+constexpr double writer_seconds = 1.0;  // what a writer's full memory costs, against seconds of reading
+constexpr double far_seconds = 5.0;     // what the price of a move to another rack costs, likewise
+constexpr double cold_share = 0.7;      // of the cold budget that is used
+constexpr double cold_least = 0.3;      // sends in the fall window, all fronts, where no peer shows more
 constexpr double silence_deviations = 6.0;
 constexpr double failing_share = 0.25;
-constexpr double read_overhead = 500;  // a read's fixed part, in tokens
-constexpr double answer_work = 8;      // work of an answered token, in tokens read
-constexpr double no_rate = 10000;      // tokens a second, until a read has been seen
-constexpr double no_memory = 200000;   // tokens, where settings do not tell
+constexpr double read_overhead = 500;                  // a read's fixed part, in tokens
+constexpr double answer_work = 8;                      // work of an answered token, in tokens read
+constexpr double no_rate = 10000, no_memory = 200000;  // tokens a second until a read was seen; if not told
 constexpr double never = std::numeric_limits<double>::infinity();
 
 double quantile(std::vector<double> v, double part, double absent) {
@@ -336,8 +333,7 @@
   void read_done(Inference& f, const Send& s, const SendEnded& e) {
     if (Engine* eng = engine(s.engine)) learn(f, *eng, e.kept_tokens);
     if (f.phase == Phase::Answering) return;  // a second read, after the first one's state went on
-    f.state_at = s.engine, f.phase = Phase::Handing;
-    hand_over(f, e.elapsed);
+    f.state_at = s.engine, f.phase = Phase::Handing, hand_over(f, e.elapsed);
   }
 
   // The state goes to the booked writer; if that said full, left or is in doubt, to the next-lowest.
@@ -360,9 +356,8 @@
     }
     if (!best) return;  // tried again by timer until the pin limit is near
     if (f.writer && f.writer != best) engines_[*f.writer].writing.erase(f.what.inf);
-    f.writer = best;
+    f.writer = best, f.phase = Phase::Answering;
     engines_[*best].writing[f.what.inf] = f.whole();
-    f.phase = Phase::Answering;
     send(f, *best, false);
   }
 
@@ -406,7 +401,12 @@
     return std::max(own, *e.report->memory_share * memory(e) + own - e.booked_at_report);
   }
 
-  bool writer_full(const Engine& e, double need) const {
+  // Full by a recent answer, by a queue (reported, or seen in a fetch that does not begin) or by memory.
+  bool writer_full(const Engine& e, double need) {
+    for (const auto& [key, at] : e.awaited) {
+      const Send& s = *find(key.first, key.second).second;
+      if (now_ - at > queue_sign && !s.to_reader && !s.far && s.work == 0) return true;
+    }
     if (e.full_until > now_ || (fresh(e) && e.report->waiting.value_or(0) >= 1)) return true;
     if (e.writing.empty() && !tells_memory(e)) return false;
     return writer_load(e) + need > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
