--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -394,10 +394,18 @@
     return writer_seconds * writer_load(e) / memory(e) / size * slowness(e) * coldness(e);
   }
 
-  // Other fronts' streams are unseen: a report tells of them, or each front is taken to have as many.
+  // Other fronts' work is unseen: each is taken to have the mean of what this one has at engines of the kind.
+  double others(const Engine& e, Ledger Engine::*ledger) const {
+    double all = 0, peers = 0;
+    for (const auto& [id, other] : engines_)
+      if (other.entry.kind == e.entry.kind && other.lifecycle == Lifecycle::Ready)
+        all += booked(other.*ledger), peers += 1;
+    return (s_.fronts - 1) * all / std::max(1.0, peers);
+  }
+
   double writer_load(const Engine& e) const {
     const double own = booked(e.writing);
-    if (!tells_memory(e)) return own * s_.fronts;
+    if (!tells_memory(e)) return own + others(e, &Engine::writing);
     return std::max(own, *e.report->memory_share * memory(e) + own - e.booked_at_report);
   }
 
@@ -412,15 +420,9 @@
     return writer_load(e) + need > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
   }
 
-  // Other fronts' reads: each front is taken to have the mean of what this one has at such engines.
   bool reader_full(const Engine& e, double need) {
     if (e.full_until > now_ || e.reading.empty()) return e.full_until > now_;
-    std::vector<double> all;
-    for (auto& [id, other] : engines_)
-      if (other.entry.kind == e.entry.kind && other.lifecycle == Lifecycle::Ready)
-        all.push_back(booked(other.reading));
-    const double mean = sum(all) / std::max<double>(1, static_cast<double>(all.size()));
-    const double tokens = booked(e.reading) + (s_.fronts - 1) * mean;
+    const double tokens = booked(e.reading) + others(e, &Engine::reading);
     if (tokens + need > memory(e)) return true;
     const double bound = stage(e) == Stage::Read ? reader_wait_bound : mixed_wait_bound;
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * bound;
