--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -39,10 +39,8 @@
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
 constexpr double unseen_memory_bound = 1.0;     // of own load times fronts, which are unevenly busy
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
-constexpr double writer_seconds = 1.0;  // what a writer's full memory costs, against seconds of reading
-constexpr double far_seconds = 5.0;     // what the price of a move to another rack costs, likewise
-constexpr double cold_share = 0.7;      // of the cold budget that is used
-constexpr double cold_least = 0.3;      // sends in the fall window, all fronts, where no peer shows more
+constexpr double writer_seconds = 1.0, far_seconds = 5.0;  // full writer memory, and prices, in read seconds
+constexpr double cold_share = 0.7, cold_least = 0.3;  // of the cold budget; sends a window if no peer tells
 constexpr double silence_deviations = 6.0;
 constexpr double failing_share = 0.25;
 constexpr double read_overhead = 500;                  // a read's fixed part, in tokens
@@ -325,8 +323,7 @@
     f.phase = own ? Phase::Answering : Phase::Reading;
     send(f, reader, !own);
     if (own || !s_.may_hold_places) return true;
-    f.place_at = writer, f.place_held.reset();
-    out_.push_back(HoldPlace{f.what.inf, writer});
+    f.place_at = writer, f.place_held.reset(), out_.push_back(HoldPlace{f.what.inf, writer});
     return true;
   }
 
@@ -386,6 +383,9 @@
   double reader_cost(const Inference& f, const Engine& e) {
     double waiting = booked(e.reading);
     if (fresh(e) && e.report->tokens_waiting) waiting = std::max(waiting, *e.report->tokens_waiting);
+    else if (fresh(e) && e.report->inferences_held)
+      waiting +=
+          std::max(0.0, *e.report->inferences_held - static_cast<double>(e.reading.size())) * read_overhead;
     return (read_weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e);
   }
 
