--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -42,9 +42,9 @@
 constexpr double writer_seconds = 1.0, far_seconds = 5.0;  // full writer memory, and prices, in read seconds
 constexpr double cold_share = 0.7, cold_least = 0.3;  // of the cold budget; sends a window if no peer tells
 constexpr double silence_deviations = 6.0;
-constexpr double failing_share = 0.25;
-constexpr double read_overhead = 500;                  // a read's fixed part, in tokens
-constexpr double answer_work = 8;                      // work of an answered token, in tokens read
+constexpr double failing_share = 0.25, needed_margin = 1.5;  // the latter: what seems just in time is late
+constexpr double read_overhead = 500;                        // a read's fixed part, in tokens
+constexpr double answer_work = 8;                            // work of an answered token, in tokens read
 constexpr double no_rate = 10000, no_memory = 200000;  // tokens a second until a read was seen; if not told
 constexpr double never = std::numeric_limits<double>::infinity();
 
@@ -754,7 +754,7 @@
   Span needed(const Inference& f) {
     const double least = least_at_readers([&](const Engine& e) { return reader_cost(f, e); });
     const double after = quantile(after_read_.since(now_ - sample_life), 0.75, 0.05);
-    return Span::from_seconds((least < never ? least : 0.0) + after);
+    return Span::from_seconds(((least < never ? least : 0.0) + after) * needed_margin);
   }
 
   // Worth per unit of the scarce role's work: what is mostly kept already costs a reader little. The worst
