--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -37,7 +37,6 @@
 struct ModelRoute {
   Span first_token_target;
   Span target_per_1000_tokens;
-  Span route_timeout;
   Span token_pace;
   Effect effect = Effect::Retriable;
   DedupeGroup dedupe_group = DedupeGroup::All;
@@ -65,11 +64,9 @@
   bool writers_read = false;
   bool list_must_be_asked = false;
   bool sizes_told = false;  // weights in the list compare engines of a role
-  bool reports_by_probe_only = false;
   int max_sends = 1;
   Span max_retry_after;
   Span pin_limit;
-  Span drain_grace;
   Span cold;
   double cold_from = 1;
   double fall_multiple = 1;
@@ -77,7 +74,6 @@
   Span ask_within;
   double far_price = 0;
   double zone_price = 0;
-  double late_price = 0;
   double whole_weight = 1;
   double worst_route_weight = 0;
 };
--- a/src/simhost/settings.cpp
+++ b/src/simhost/settings.cpp
@@ -106,7 +106,6 @@
     const auto n = static_cast<std::size_t>(k);
     ModelRoute r;
     r.first_token_target = p.span(at + "aim");
-    r.route_timeout = p.span(at + "give_up");
     r.effect = choice<Effect>(
         p, at + "effect",
         {{"safe", Effect::Retriable}, {"keyed", Effect::Deduped}, {"unsafe", Effect::NonRetriable}},
@@ -144,11 +143,9 @@
   s.writers_read = p.flag("family_info.writers_read");
   s.list_must_be_asked = choice<bool>(p, "discovery", {{"automatic", false}, {"subscribe", true}}, false);
   s.sizes_told = !p.word("weight_source").empty() && p.word("weight_source") != "silent";
-  s.reports_by_probe_only = p.word("report.source") == "pull";
   s.max_sends = p.count("allowed.max_attempts", 1);
   s.max_retry_after = p.span("allowed.max_retry_after");
   s.pin_limit = p.span("family_info.pin_limit");
-  s.drain_grace = p.span("rules.drain_grace");
   s.cold = p.span("rules.cold");
   s.cold_from = p.number("rules.cold_from", 1);
   s.fall_multiple = p.number("rules.fall_multiple", 1);
@@ -156,7 +153,6 @@
   s.ask_within = p.span("rules.ask_within");
   s.far_price = p.number("family_info.far_price", 0);
   s.zone_price = p.number("penalties.cross_zone", 0);
-  s.late_price = p.number("penalties.late_fail", 0);
   s.whole_weight = p.number("blend.whole", 1);
   s.worst_route_weight = p.number("blend.worst_class", 0);
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -21,7 +21,6 @@
   ModelRoute r;
   r.first_token_target = ms(1000);
   r.target_per_1000_tokens = ms(40);
-  r.route_timeout = ms(4000);
   r.token_pace = ms(60);
   r.late_value = 0.3;
   r.dedupe_window = ms(1500);
@@ -32,7 +31,6 @@
   s.max_sends = 6;
   s.max_retry_after = ms(1000);
   s.pin_limit = ms(300);
-  s.drain_grace = ms(1000);
   s.cold = ms(10000);
   s.cold_from = 0.25;
   s.fall_multiple = 2.5;
@@ -161,7 +159,7 @@
 
   void reach(const EngineId& e) {
     if (!engines.contains(e)) flaw("an engine that no list named");
-    if (const auto it = leaving.find(e); it != leaving.end() && now - it->second > settings.drain_grace)
+    if (const auto it = leaving.find(e); it != leaving.end() && now - it->second > ms(1000))
       flaw("rule 3: after the grace");
   }
 
