--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -37,7 +37,7 @@
 constexpr Span queue_sign = Span::millis(150);  // a near fetch not begun for so long waits in a queue
 constexpr double read_weight = 1.0;             // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
-constexpr double unseen_memory_bound = 1.0;     // of own load times fronts, which are unevenly busy
+constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
 constexpr double writer_seconds = 1.0, far_seconds = 5.0;  // full writer memory, and prices, in read seconds
 constexpr double cold_share = 0.7, cold_least = 0.3;  // of the cold budget; sends a window if no peer tells
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -5,6 +5,18 @@
 
 std::vector<EngineEntry> small_fleet() { return {entry(1, 0), entry(2, 0), entry(3, 1), entry(4, 1)}; }
 
+Settings settings_with_places() {
+  Settings s = usual_settings();
+  s.may_hold_places = true;
+  return s;
+}
+
+EngineId place_asked_for(const World& w) {
+  for (const auto& a : w.last)
+    if (const auto* h = std::get_if<HoldPlace>(&a)) return h->engine;
+  return {};
+}
+
 TEST(Router, ReadsThenWritesAtTheBookedPair) {
   World w(usual_settings());
   w.list(small_fleet());
@@ -71,9 +83,7 @@
 
 // Found on a day with crashes: the place's holder failed and the next writer had no state.
 TEST(Router, APlaceAtAFailedWriterIsLetGoBeforeTheNextRead) {
-  Settings s = usual_settings();
-  s.may_hold_places = true;
-  World w(s);
+  World w(settings_with_places());
   w.list(small_fleet());
   w.arrive(1);
   w.happen(PlaceAnswered{1, 0, w.sent(1, 0).engine, true});
@@ -85,14 +95,10 @@
 
 // Found on the first quiet day: the answer for a place names the reader that bears it.
 TEST(Router, AHeldPlaceKeepsTheBookedWriter) {
-  Settings s = usual_settings();
-  s.may_hold_places = true;
-  World w(s);
+  World w(settings_with_places());
   w.list(small_fleet());
   w.arrive(1);
-  EngineId place;
-  for (const auto& a : w.last)
-    if (const auto* h = std::get_if<HoldPlace>(&a)) place = h->engine;
+  const EngineId place = place_asked_for(w);
   w.happen(PlaceAnswered{1, 0, w.sent(1, 0).engine, true});
   w.end(1, 0, EndedAs::ReadDone);
   EXPECT_EQ(w.sent(1, 1).engine, place);
@@ -100,14 +106,10 @@
 
 // Found on a day with a crash: writers that could not be heard were handed the state all the same.
 TEST(Router, APlaceThatNobodyAnsweredForGivesWay) {
-  Settings s = usual_settings();
-  s.may_hold_places = true;
-  World w(s);
+  World w(settings_with_places());
   w.list(small_fleet());
   w.arrive(1);
-  EngineId place;
-  for (const auto& a : w.last)
-    if (const auto* h = std::get_if<HoldPlace>(&a)) place = h->engine;
+  const EngineId place = place_asked_for(w);
   w.pass(ms(60));
   w.end(1, 0, EndedAs::ReadDone);
   EXPECT_NE(w.sent(1, 1).engine, place);
