Siblings play the other fronts' load; ranking linear in the fleet; trials spaced by fronts; full by route

Cause: others' load was own bookings times fronts, all noise at one inference a second; probes were repeated every tick; pairs were ranked by readers x writers.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -31,16 +31,20 @@
 constexpr Span sample_life = Span::millis(12000);  // older samples no longer speak for an engine
 constexpr Span full_memory = Span::millis(250);    // how long a full answer counts as recent
 constexpr Span trial_every = Span::millis(1000);
+constexpr Span flow_window = Span::millis(30000);
+constexpr Span worked_out_every = Span::millis(50);  // paces and rates
+constexpr int places_asked = 3;
+constexpr double close_for = 40;  // times what a full answer took: asking again costs as much again
 constexpr Span report_life = Span::millis(3000);
-constexpr Span rate_window = Span::millis(8000);  // over which sends to warm peers are counted
-constexpr std::size_t samples_kept = 16, sends_kept = 256, texts_kept = 16384;
+constexpr std::size_t samples_kept = 16, bookings_kept = 24, texts_kept = 16384;
+constexpr std::size_t siblings_kept = 1024, siblings_each = 64;  // in all, and booked anew at each arrival
 constexpr Span queue_sign = Span::millis(150);  // a near fetch not begun for so long waits in a queue
 constexpr double read_weight = 1.0;             // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
 constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
 constexpr double writer_seconds = 1.0, far_seconds = 5.0;  // full writer memory, and prices, in read seconds
-constexpr double cold_share = 0.7, cold_least = 0.3;  // of the cold budget; sends a window if no peer tells
+constexpr double cold_share = 0.7, cold_surely = 0.2, cold_least = 0.3;  // of the budget; sends a window
 constexpr double silence_deviations = 6.0;
 constexpr double failing_share = 0.25, needed_margin = 1.5;  // the latter: what seems just in time is late
 constexpr double read_overhead = 500;                        // a read's fixed part, in tokens
@@ -59,11 +63,14 @@
 // The last few samples themselves; figures are worked out when asked for.
 class LastFew {
  public:
+  LastFew() = default;
+  explicit LastFew(std::size_t most) : most_(most) {}
   void add(Instant at, double value) {
     samples_.emplace_back(at, value);
-    if (samples_.size() > samples_kept) samples_.pop_front();
+    if (samples_.size() > most_) samples_.pop_front();
   }
-  void clear() { samples_.clear(); }
+  bool full() const { return samples_.size() == most_; }
+  Instant oldest() const { return samples_.front().first; }
   std::vector<double> since(Instant at, std::vector<double> out = {}) const {
     for (const auto& [when, value] : samples_)
       if (when >= at) out.push_back(value);
@@ -71,16 +78,31 @@
   }
 
  private:
+  std::size_t most_ = samples_kept;
   std::deque<std::pair<Instant, double>> samples_;
 };
 
-using Ledger = std::map<InfId, double>;  // tokens booked, by inference
+using Ledger = std::map<InfId, std::pair<double, Instant>>;  // tokens booked, and since when, by inference
 double booked(const Ledger& ledger) {
   double tokens = 0;
-  for (const auto& [inf, t] : ledger) tokens += t;
+  for (const auto& [inf, b] : ledger) tokens += b.first;
   return tokens;
 }
 
+// What this front books in one ledger, over the last bookings: a front that books seldom has, at any one
+// moment, far more or far less than its mean.
+struct Flow {
+  LastFew made{bookings_kept}, freed{bookings_kept};  // tokens; tokens x seconds
+  double a_second = 0, tokens = 0;                    // bookings, and the mean of what is booked
+  void work_out(Instant now, Instant begun) {
+    const Instant from = std::max(begun, now - flow_window);
+    const auto recent = made.since(from), held = freed.since(from);
+    const Span over = std::max(Span::millis(1000), now - (made.full() ? std::max(from, made.oldest()) : from));
+    a_second = static_cast<double>(recent.size()) / over.seconds();
+    tokens = held.empty() ? 0 : a_second * sum(held) / static_cast<double>(held.size());
+  }
+};
+
 using Kept = std::pair<double, Instant>;  // tokens, and when they were last touched
 
 struct Engine {
@@ -90,10 +112,13 @@
   std::map<TextKey, Kept> kept;  // prefix table
   Instant kept_since;            // texts last touched before this are taken to be gone
   LastFew gaps, pace, first_token, failures;
-  std::deque<Instant> sends;
   std::map<std::pair<InfId, std::size_t>, Instant> awaited;  // sends not begun, by when they were sent
-  Instant last_sign, full_until, next_trial, cold_since, report_at;
-  bool cold = false, doubted = false, silent = false, trial_out = false;
+  std::map<std::size_t, Instant> full_until;                 // by model route
+  Instant last_sign, last_send, heard, next_trial, cold_since, report_at;
+  bool cold = false, doubted = false, silent = false, sent = false;
+  std::size_t rack = 0;
+  double turn = 0;          // where this front stands among all, in [0, 1)
+  int read_for = 0, write_for = 0;  // siblings booked here
   std::optional<LoadReport> report;
   double booked_at_report = 0;
   mutable std::pair<Instant, double> slow;  // slowness, as worked out at that time
@@ -108,6 +133,16 @@
   double work = 0;  // tokens to be read before it can end, those booked ahead of it included
 };
 
+// An engine as a candidate for either leg: what it costs, and what each sibling there adds.
+struct Candidate {
+  EngineId id;
+  Engine* engine;
+  bool reads, writes, itself;
+  double read, read_each, write, write_each;
+  double read_now() const { return read + read_each * (engine->read_for + engine->turn); }
+  double write_now() const { return write + write_each * (engine->write_for + engine->turn); }
+};
+
 enum class Phase { Waiting, Reading, Handing, Answering, Streaming, Over };
 
 struct Inference {
@@ -118,6 +153,7 @@
   Stage waits_for = Stage::Read;
   std::optional<EngineId> writer, state_at, place_at;
   std::optional<bool> place_held;  // none until the place asked for was answered
+  int places = 0;
   std::vector<Send> sends;
   std::set<EngineId> failed_at;
 
@@ -142,8 +178,8 @@
   }
 
   std::vector<Action> handle(Instant now, const Event& event) {
-    now_ = now;
     if (!begun_at_) begun_at_ = now;
+    if (std::exchange(now_, now) != now) reading_.work_out(now, *begun_at_), writing_.work_out(now, *begun_at_);
     if (s_.list_must_be_asked &&
         (!asked_at_ || now_ - *asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every)))
       asked_ = true, asked_at_ = now_, out_.push_back(Subscribe{true});
@@ -152,10 +188,13 @@
     // the order of the last timer, so that a long queue costs little for each event.
     const bool anew = !holding_ || std::holds_alternative<TimerFired>(event);
     if (anew || !std::holds_alternative<Arrived>(event)) admit(anew);
-    if (!timer_set_ && (!infs_.empty() || s_.list_must_be_asked))
-      timer_set_ = true, out_.push_back(SetTimer{tick, 0});
     for (InfId id : std::exchange(ended_, {}))
       if (const auto it = infs_.find(id); it != infs_.end() && !it->second.any_out()) infs_.erase(it);
+    const bool pending = std::any_of(infs_.begin(), infs_.end(), [](const auto& i) {
+      return i.second.phase != Phase::Streaming && i.second.phase != Phase::Over;
+    });
+    if (!timer_set_ && (pending || s_.list_must_be_asked))
+      timer_set_ = true, out_.push_back(SetTimer{tick, 0});
     return std::exchange(out_, {});
   }
 
@@ -171,6 +210,7 @@
     if (a.answer_hint && r.token_pace > Span{})
       f.answer_tokens = std::clamp(*a.answer_hint / r.token_pace, 1.0, std::max(1.0, a.max_answer_tokens));
     if (a.budget <= answer_margin + tick) finish(f);
+    else book_siblings(f);
   }
 
   void on(const StreamStarted& e) {
@@ -185,18 +225,22 @@
     f->phase = Phase::Streaming;
     for (auto& other : f->sends)
       if (&other != s) cancel(*f, other);
-    for (auto& [id, eng] : engines_) {
-      eng.reading.erase(e.inf);
-      if (id != s->engine) eng.writing.erase(e.inf);
-    }
+    for (const auto& other : f->sends) free(other.engine, e.inf, true, other.engine != s->engine);
+    if (f->writer && f->writer != s->engine) free(*f->writer, e.inf, true, true);
   }
 
   void on(const PlaceAnswered& e) {
     const auto it = infs_.find(e.inf);
     if (it == infs_.end() || !it->second.place_at || it->second.place_held) return;
-    it->second.place_held = e.held;  // the answer rides on the read; it names the reader, not the place
-    sign_of_life(*it->second.place_at);
-    if (Engine* eng = engine(*it->second.place_at); eng && !e.held) eng->full_until = now_ + full_memory;
+    Inference& f = it->second;
+    f.place_held = e.held;  // the answer rides on the read; it names the reader, not the place
+    sign_of_life(*f.place_at);
+    Engine* eng = engine(*f.place_at);
+    if (e.held || !eng) return;
+    close(*eng, f, full_memory);
+    if (f.phase != Phase::Reading || f.places >= places_asked) return;
+    const auto next = next_writer(f, engine(f.sends.back().engine), tick, false);
+    if (next) book_writer(f, *next), hold_place(f);
   }
 
   void on(const SendEnded& e) {
@@ -206,10 +250,9 @@
     s->out = false;
     if (proves_unrun(e.as) || s->to_reader) s->ran = false;
     if (Engine* eng = engine(s->engine)) {
-      judge(s->engine, *eng, *s, e);
+      judge(s->engine, *eng, *f, *s, e);
       eng->awaited.erase({e.inf, e.send});
-      eng->reading.erase(e.inf);
-      if (!s->to_reader) eng->writing.erase(e.inf);
+      free(s->engine, e.inf, true, !s->to_reader);
     }
     if (e.inference_over && f->phase != Phase::Over) over(*f);
     if (f->phase == Phase::Over) {
@@ -239,10 +282,14 @@
       Engine& eng = engines_[*named.insert(entry.engine).first];
       if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
         // A restart under the same id, or a return: nothing learnt before holds any more.
+        const auto [read_for, write_for] = std::pair{eng.read_for, eng.write_for};
         eng = Engine{};
+        eng.read_for = read_for, eng.write_for = write_for;
+        eng.turn = std::uniform_real_distribution<double>()(random_), eng.heard = now_;
         eng.cold = entry.started.has_value(), eng.cold_since = entry.started.value_or(Instant{});
       }
       eng.entry = entry, eng.lifecycle = entry.lifecycle;
+      eng.rack = racks_.emplace(entry.rack, racks_.size()).first->second;
     }
     if (e.scope == ListScope::Delta) return;
     for (auto& [id, eng] : engines_)
@@ -255,11 +302,7 @@
     for (auto& [id, f] : infs_) look_after(f);
   }
 
-  void on(const ProbeEnded& e) {
-    Engine* eng = engine(e.engine);
-    take_report(eng, e.report);
-    if (eng && e.as == EndedAs::Completed) eng->next_trial = now_;  // its process runs: real work may try it
-  }
+  void on(const ProbeEnded& e) { take_report(engine(e.engine), e.report); }
 
   void on(const PeerSpoke&) {}
 
@@ -293,40 +336,122 @@
   // Joint scoring, in seconds: weight x tokens still to read + tokens booked at the reader, by its pace; the
   // writer's booked share of memory; and the way between them. Both legs are booked, or none.
   bool book(Inference& f) {
-    std::map<EngineId, double> readers, writers;
+    const Candidate *reader = nullptr, *writer = nullptr;
+    std::vector<Candidate> all;
     for (const bool any : {false, true}) {
       // Only where a role has nobody else are the doubted ones, and those that failed this one, taken.
-      const bool want_readers = readers.empty(), want_writers = writers.empty();
+      bool reads = false, writes = false;
+      if (any) std::erase_if(all, [](const Candidate& c) { return !c.reads && !c.writes; });
+      for (const Candidate& c : all) reads |= c.reads, writes |= c.writes;
       for (auto& [id, e] : engines_) {
         if (!usable(f, id, e, any)) continue;
-        if (want_readers && may_read(e) && !reader_full(e, f.what.prompt_tokens))
-          readers[id] = reader_cost(f, e) + way_cost(nullptr, e);
-        if (want_writers && may_write(e) && !writer_full(e, f.whole())) writers[id] = writer_cost(e);
+        Candidate c{id, &e, false, false, reads_itself(e), 0, 0, 0, 0};
+        c.reads = !reads && may_read(e) && !reader_full(e, f);
+        c.writes = !writes && may_write(e) && !writer_full(e, f);
+        if (!c.reads && !c.writes) continue;
+        if (c.reads) c.read = reader_cost(f, e) + way_cost(nullptr, e);
+        if (c.writes) c.write = writer_cost(e) + (c.itself && c.reads ? 0 : way_cost(nullptr, e));
+        all.push_back(c);
       }
-      if ((!readers.empty() && !writers.empty()) || (!any && merely_full(f, readers.empty()))) break;
+      reads = writes = false;
+      for (const Candidate& c : all) reads |= c.reads, writes |= c.writes;
+      f.waits_for = reads ? Stage::Write : Stage::Read;
+      std::tie(reader, writer) = cheapest(all);
+      if (reader || (!any && merely_full(f, !reads))) break;
     }
-    f.waits_for = readers.empty() ? Stage::Read : Stage::Write;
-    double least = never;
-    EngineId reader, writer;
-    for (const auto& [r, read] : readers)
-      for (const auto& [w, write] : writers) {
-        const Engine &re = engines_[r], &we = engines_[w];
-        if (reads_itself(re) && r != w) continue;
-        const double cost = read + write + (r == w ? 0.0 : way_cost(&re, we));
-        if (cost < least) least = cost, reader = r, writer = w;
-      }
-    if (least == never) return false;
+    if (!reader) return false;
     const bool own = reader == writer;
-    engines_[reader].reading[f.what.inf] = std::max(1.0, to_read(f, engines_[reader]));
-    engines_[writer].writing[f.what.inf] = f.whole();
-    f.writer = writer;
+    reader->engine->reading[f.what.inf] = {std::max(1.0, to_read(f, *reader->engine)), now_};
+    reading_.made.add(now_, 1);
+    book_writer(f, writer->id);
     f.phase = own ? Phase::Answering : Phase::Reading;
-    send(f, reader, !own);
-    if (own || !s_.may_hold_places) return true;
-    f.place_at = writer, f.place_held.reset(), out_.push_back(HoldPlace{f.what.inf, writer});
+    send(f, reader->id, !own);
+    if (!own && s_.may_hold_places) hold_place(f);
     return true;
   }
 
+  // The pair of the lowest cost, the way between them included.
+  std::pair<const Candidate*, const Candidate*> cheapest(const std::vector<Candidate>& all) {
+    near_.assign(racks_.size(), {never, nullptr});
+    std::pair<double, const Candidate*> least{never, nullptr};
+    for (const Candidate& c : all) {
+      if (!c.writes) continue;
+      const std::pair<double, const Candidate*> w{c.write_now(), &c};
+      if (w.first < near_[c.engine->rack].first) near_[c.engine->rack] = w;
+      if (w.first < least.first) least = w;
+    }
+    least.first += far_seconds * s_.far_price;
+    double best = never;
+    std::pair<const Candidate*, const Candidate*> pair{};
+    for (const Candidate& c : all) {
+      if (!c.reads || (c.itself && !c.writes)) continue;
+      auto w = near_[c.engine->rack].first <= least.first ? near_[c.engine->rack] : least;
+      if (c.itself) w = {c.write_now(), &c};
+      if (const double cost = c.read_now() + w.first; cost < best) best = cost, pair = {&c, w.second};
+    }
+    return pair;
+  }
+
+  // What the other fronts book is unseen: each is taken to score as this one does, with its last few bookings.
+  // So the fleet's load is played here, by siblings of each arrival, booked one after the other. Guards
+  // against all fronts going for the same engine, and gives each rack no more than it can take; with a list
+  // that differs from the others' it is as wrong as the list.
+  void book_siblings(const Inference& f) {
+    if (s_.fronts < 2) return;
+    std::vector<Candidate> all;
+    for (auto& [id, e] : engines_) {
+      if (e.lifecycle != Lifecycle::Ready || e.doubted) continue;
+      Candidate c{id, &e, may_read(e), may_write(e), reads_itself(e), 0, 0, 0, 0};
+      const double read = slowness(e) * coldness(e) / rate(e.entry.kind);
+      const double write = writer_seconds * slowness(e) * coldness(e) / memory(e) / size(e);
+      c.read = f.what.prompt_tokens * read + way_cost(nullptr, e);
+      c.write = way_cost(nullptr, e);
+      c.read_each = (s_.fronts - 1) * std::max(1.0, reading_.tokens) / siblings_kept * read;
+      c.write_each = (s_.fronts - 1) * std::max(1.0, writing_.tokens) / siblings_kept * write;
+      all.push_back(c);
+    }
+    const auto more = siblings_each / 2 + random_() % siblings_each;
+    for (auto k = siblings_.empty() ? siblings_kept : more; k > 0; --k) {
+      const auto [reader, writer] = cheapest(all);
+      if (!reader) return;
+      ++reader->engine->read_for, ++writer->engine->write_for;
+      siblings_.emplace_back(reader->id, writer->id);
+      if (siblings_.size() <= siblings_kept) continue;
+      if (Engine* e = engine(siblings_.front().first)) --e->read_for;
+      if (Engine* e = engine(siblings_.front().second)) --e->write_for;
+      siblings_.pop_front();
+    }
+  }
+
+  double others(const Engine& e, bool reads) const {
+    const double part = ((reads ? e.read_for : e.write_for) + e.turn) / siblings_kept;
+    return (s_.fronts - 1) * (reads ? reading_ : writing_).tokens * part;
+  }
+
+  void book_writer(Inference& f, const EngineId& id) {
+    if (f.writer && f.writer != id) free(*f.writer, f.what.inf, false, true);
+    if (engines_[id].writing.insert_or_assign(f.what.inf, std::pair{f.whole(), now_}).second)
+      writing_.made.add(now_, 1);
+    f.writer = id;
+  }
+
+  void free(const EngineId& id, InfId inf, bool read, bool write) {
+    Engine* e = engine(id);
+    const auto from = [&](Ledger& ledger, Flow& flow) {
+      const auto it = ledger.find(inf);
+      if (it == ledger.end()) return;
+      flow.freed.add(now_, it->second.first * (now_ - it->second.second).seconds());
+      ledger.erase(it);
+    };
+    if (e && read) from(e->reading, reading_);
+    if (e && write) from(e->writing, writing_);
+  }
+
+  void hold_place(Inference& f) {
+    f.place_at = f.writer, f.place_held.reset(), ++f.places;
+    out_.push_back(HoldPlace{f.what.inf, *f.writer});
+  }
+
   void read_done(Inference& f, const Send& s, const SendEnded& e) {
     if (Engine* eng = engine(s.engine)) learn(f, *eng, e.kept_tokens);
     if (f.phase == Phase::Answering) return;  // a second read, after the first one's state went on
@@ -336,26 +461,27 @@
   // The state goes to the booked writer; if that said full, left or is in doubt, to the next-lowest.
   void hand_over(Inference& f, Span since_asked) {
     if (!may_send(f)) return give_up_if_idle(f);
+    auto best = next_writer(f, engine(*f.state_at), since_asked, false);
+    if (!best && pin_is_near(f)) best = next_writer(f, engine(*f.state_at), since_asked, true);
+    if (!best) return;  // tried again by timer until the pin limit is near
+    book_writer(f, *best);
+    f.phase = Phase::Answering;
+    send(f, *best, false);
+  }
+
+  std::optional<EngineId> next_writer(const Inference& f, const Engine* from, Span since_asked, bool any) {
     std::optional<EngineId> best;
     double least = never;
-    const Engine* from = engine(*f.state_at);
-    for (const bool any : {false, true}) {
-      for (auto& [id, e] : engines_) {
-        if (!may_write(e) || !usable(f, id, e, any)) continue;
-        // A place that nobody answered for while the read ran counts as refused: its engine can't be heard.
-        const bool refused = f.place_at == id && !f.place_held.value_or(since_asked < tick);
-        const bool keeps = f.writer == id && !refused && !e.doubted;
-        if (!any && !keeps && (refused || writer_full(e, f.whole()))) continue;
-        const double cost = keeps ? -1 : writer_cost(e) + way_cost(from, e);
-        if (cost < least) best = id, least = cost;
-      }
-      if (best || !pin_is_near(f)) break;
+    for (auto& [id, e] : engines_) {
+      if (!may_write(e) || !usable(f, id, e, any)) continue;
+      // A place that nobody answered for while the read ran counts as refused: its engine can't be heard.
+      const bool refused = f.place_at == id && !f.place_held.value_or(since_asked < tick);
+      const bool keeps = f.writer == id && !refused && !e.doubted;
+      if (!any && !keeps && (refused || writer_full(e, f))) continue;
+      const double cost = keeps ? -1 : writer_cost(e) + way_cost(from, e);
+      if (cost < least) best = id, least = cost;
     }
-    if (!best) return;  // tried again by timer until the pin limit is near
-    if (f.writer && f.writer != best) engines_[*f.writer].writing.erase(f.what.inf);
-    f.writer = best, f.phase = Phase::Answering;
-    engines_[*best].writing[f.what.inf] = f.whole();
-    send(f, *best, false);
+    return best;
   }
 
   void send_failed(Inference& f, const Send& s, const SendEnded& e) {
@@ -386,44 +512,45 @@
     else if (fresh(e) && e.report->inferences_held)
       waiting +=
           std::max(0.0, *e.report->inferences_held - static_cast<double>(e.reading.size())) * read_overhead;
+    else waiting += others(e, true);
     return (read_weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e);
   }
 
+  double size(const Engine& e) const { return s_.sizes_told ? std::max(0.1, e.entry.size) : 1.0; }
   double writer_cost(const Engine& e) {
-    const double size = s_.sizes_told ? std::max(0.1, e.entry.size) : 1.0;
-    return writer_seconds * writer_load(e) / memory(e) / size * slowness(e) * coldness(e);
-  }
-
-  // Other fronts' work is unseen: each is taken to have the mean of what this one has at engines of the kind.
-  double others(const Engine& e, Ledger Engine::*ledger) const {
-    double all = 0, peers = 0;
-    for (const auto& [id, other] : engines_)
-      if (other.entry.kind == e.entry.kind && other.lifecycle == Lifecycle::Ready)
-        all += booked(other.*ledger), peers += 1;
-    return (s_.fronts - 1) * all / std::max(1.0, peers);
+    return writer_seconds * writer_load(e) / memory(e) / size(e) * slowness(e) * coldness(e);
   }
 
   double writer_load(const Engine& e) const {
     const double own = booked(e.writing);
-    if (!tells_memory(e)) return own + others(e, &Engine::writing);
+    if (!tells_memory(e)) return own + others(e, false);
     return std::max(own, *e.report->memory_share * memory(e) + own - e.booked_at_report);
   }
 
+  // A full answer closes the engine to that model route alone, for longer the longer it took to come.
+  void close(Engine& e, const Inference& f, Span span) {
+    e.full_until[index(f.what)] = now_ + std::clamp(span, full_memory, sample_life);
+  }
+  bool closed(const Engine& e, const Inference& f) const {
+    const auto it = e.full_until.find(index(f.what));
+    return it != e.full_until.end() && it->second > now_;
+  }
+
   // Full by a recent answer, by a queue (reported, or seen in a fetch that does not begin) or by memory.
-  bool writer_full(const Engine& e, double need) {
+  bool writer_full(const Engine& e, const Inference& f) {
     for (const auto& [key, at] : e.awaited) {
       const Send& s = *find(key.first, key.second).second;
       if (now_ - at > queue_sign && !s.to_reader && !s.far && s.work == 0) return true;
     }
-    if (e.full_until > now_ || (fresh(e) && e.report->waiting.value_or(0) >= 1)) return true;
+    if (closed(e, f) || (fresh(e) && e.report->waiting.value_or(0) >= 1)) return true;
     if (e.writing.empty() && !tells_memory(e)) return false;
-    return writer_load(e) + need > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
+    return writer_load(e) + f.whole() > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
   }
 
-  bool reader_full(const Engine& e, double need) {
-    if (e.full_until > now_ || e.reading.empty()) return e.full_until > now_;
-    const double tokens = booked(e.reading) + others(e, &Engine::reading);
-    if (tokens + need > memory(e)) return true;
+  bool reader_full(const Engine& e, const Inference& f) {
+    if (closed(e, f) || e.reading.empty()) return closed(e, f);
+    const double tokens = booked(e.reading) + others(e, true);
+    if (tokens + f.what.prompt_tokens > memory(e)) return true;
     const double bound = stage(e) == Stage::Read ? reader_wait_bound : mixed_wait_bound;
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * bound;
   }
@@ -463,7 +590,7 @@
   // Tokens a second that readers of a kind were lately seen to reach where little stood in the way: the
   // median would count the queues of other fronts as slow reading, and hold ever more the longer they get.
   double rate(std::uint8_t kind) {
-    if (rates_at_ != now_) rates_.clear(), rates_at_ = now_;
+    if (now_ - rates_at_ > worked_out_every) rates_.clear(), medians_.clear(), rates_at_ = now_;
     if (const auto it = rates_.find(kind); it != rates_.end()) return it->second;
     std::vector<double> all;
     for (auto& [id, e] : engines_)
@@ -473,16 +600,23 @@
 
   // Pace against the peers of its kind; a fleet that is slow as a whole has nobody slow in it.
   double slowness(const Engine& e) {
-    if (e.slow.first == now_) return e.slow.second;
+    if (now_ - e.slow.first <= worked_out_every) return e.slow.second;
     e.slow = {now_, 1.0};
+    rate(e.entry.kind);
     const auto samples = stage(e) == Stage::Read ? &Engine::pace : &Engine::first_token;
-    std::vector<double> peers;
-    for (auto& [id, other] : engines_)
-      if (other.entry.kind == e.entry.kind)
-        peers = (other.*samples).since(now_ - sample_life, std::move(peers));
     const auto own = (e.*samples).since(now_ - sample_life);
-    if (own.size() < 3 || peers.size() < 2 * own.size()) return 1;
-    return e.slow.second = std::max(1.0, quantile(own, 0.5, 1) / quantile(std::move(peers), 0.5, 1));
+    if (own.size() < 3) return 1;
+    if (!medians_.contains(e.entry.kind)) {
+      std::vector<double> peers;
+      for (auto& [id, other] : engines_)
+        if (other.entry.kind == e.entry.kind)
+          peers = (other.*samples).since(now_ - sample_life, std::move(peers));
+      const std::size_t n = peers.size();
+      medians_[e.entry.kind] = {n, quantile(std::move(peers), 0.5, 1)};
+    }
+    const auto [n, median] = medians_[e.entry.kind];
+    if (n < 2 * own.size()) return 1;
+    return e.slow.second = std::max(1.0, quantile(own, 0.5, 1) / median);
   }
 
   bool is_cold(const Engine& e) const { return e.cold && now_ - e.cold_since < s_.cold; }
@@ -491,25 +625,22 @@
     return 1.0 / std::max(0.05, s_.cold_from + (1 - s_.cold_from) * ((now_ - e.cold_since) / s_.cold));
   }
 
-  // Rule 4. A fresh engine's sends are spaced by what this front sends its warm peers, times the part of the
-  // capacity that is sure, times the multiple: as every front does so, all together stay below the budget.
+  // Rule 4. What all fronts may send a fresh engine in one window is what the engines of its role carry, times
+  // the part of the capacity that is sure, times the multiple, less what chance adds where each front sends
+  // less than one a window. Each front's sends are spaced by its share, and its first waits for its turn.
   bool may_push(const Engine& e) const {
-    if (!is_cold(e) || e.sends.empty()) return true;
-    const Span over = std::clamp(now_ - *begun_at_, Span::millis(1000), rate_window);
-    double sends = 0, peers = 0;
-    for (const bool same : {true, false}) {  // peers of its kind; where none is warm, those of its stage
-      for (const auto& [id, other] : engines_) {
-        if (is_cold(other) || other.lifecycle != Lifecycle::Ready || stage(other) != stage(e)) continue;
-        if (same && other.entry.kind != e.entry.kind) continue;
-        peers += 1;
-        for (Instant at : other.sends) sends += at > now_ - over ? 1 : 0;
-      }
-      if (peers > 0) break;
-    }
-    const double part = s_.cold_from * s_.fall_multiple * cold_share;
-    const double least = cold_least / std::max(0.1, s_.fall.seconds()) / s_.fronts;
-    return (now_ - e.sends.back()).seconds() >=
-           1.0 / std::max(sends / std::max(1.0, peers) / over.seconds() * part, least);
+    if (!is_cold(e)) return true;
+    const bool reads = stage(e) == Stage::Read;
+    double peers = 0;
+    for (const auto& [id, other] : engines_)
+      peers += other.lifecycle == Lifecycle::Ready && (reads ? may_read(other) : may_write(other));
+    const double window = s_.fall.seconds(), fronts = s_.fronts;
+    const double mean = (reads ? reading_ : writing_).a_second * fronts * window / std::max(1.0, peers);
+    const double budget = s_.fall_multiple * s_.cold_from * mean, part = cold_share * budget;
+    const double chance = 3 * std::sqrt(std::min(part, fronts / 4));
+    const double allowed = std::max({std::min(part, budget - chance), cold_surely * budget, cold_least});
+    const Span since = now_ - std::max(e.last_send, e.heard);
+    return since.seconds() >= window * fronts / allowed * (e.sent ? 1 : e.turn);
   }
 
   Stage stage(const Engine& e) const {
@@ -527,7 +658,7 @@
 
   bool usable(const Inference& f, const EngineId& id, const Engine& e, bool any) const {
     if (e.lifecycle != Lifecycle::Ready || !effect_allows(f, e) || !may_push(e)) return false;
-    return any || (!f.failed_at.contains(id) && (!e.doubted || (now_ >= e.next_trial && !e.trial_out)));
+    return any || (!f.failed_at.contains(id) && (!e.doubted || now_ >= e.next_trial));
   }
 
   // Whether the role has sound engines that are only full, so that waiting makes sense.
@@ -571,14 +702,13 @@
     Engine& e = engines_[to];
     Send s{.engine = to, .at = now_, .to_reader = to_reader};
     if (const auto own = e.reading.find(f.what.inf); to_reader) s.work = booked(e.reading);
-    else if (own != e.reading.end()) s.work = own->second;
+    else if (own != e.reading.end()) s.work = own->second.first;
     if (const Engine* from = !to_reader && f.state_at ? engine(*f.state_at) : nullptr)
       s.far = from->entry.rack != e.entry.rack;
     f.sends.push_back(s);
     e.awaited[{f.what.inf, f.sends.size() - 1}] = now_;
-    e.sends.push_back(now_);
-    if (e.sends.size() > sends_kept) e.sends.pop_front();
-    if (e.doubted) e.trial_out = true, e.next_trial = now_ + trial_every;
+    e.sent = true, e.last_send = now_;
+    if (e.doubted) e.next_trial = now_ + trial_gap();
     // Where no second copy may help a silent send, it gets a time-out that leaves room for another.
     const Span limit = s_.second_copies ? Span{} : std::max(patience(e) * 3, (f.ends - now_) * 0.4);
     out_.push_back(SendTo{f.what.inf, to, limit});
@@ -610,7 +740,8 @@
   }
 
   void unbook(Inference& f) {
-    for (auto& [id, e] : engines_) e.reading.erase(f.what.inf), e.writing.erase(f.what.inf);
+    for (const auto& s : f.sends) free(s.engine, f.what.inf, true, true);
+    if (f.writer) free(*f.writer, f.what.inf, true, true);
     f.writer.reset();
     f.state_at.reset();
     f.place_at.reset();
@@ -646,40 +777,39 @@
   }
 
   void watch(const EngineId& id, Engine& e) {
-    if (e.lifecycle != Lifecycle::Ready) return;
+    if (e.lifecycle != Lifecycle::Ready || e.awaited.empty() || e.doubted) return;
     double work = 0;
     for (const auto& [key, at] : e.awaited) work = std::max(work, find(key.first, key.second).second->work);
     const Span usual = patience(e) + Span::from_seconds(work / rate(e.entry.kind));
     if (silence(e) > usual) doubt(id, e, true, silence(e).as_millis(), usual.as_millis());
-    if (!e.doubted || !s_.may_probe || now_ < e.next_trial) return;
-    e.next_trial = now_ + trial_every;
-    e.trial_out = false;
-    out_.push_back(Probe{id});
   }
 
+  // All fronts together try a doubted engine about once in trial_every; a doubt older than samples live is no
+  // reason any more.
+  Span trial_gap() const { return std::min(trial_every * s_.fronts, sample_life); }
+
   void doubt(const EngineId& id, Engine& e, bool silent, double seen, double usual) {
     if (e.doubted) return;
-    e.doubted = true, e.silent = silent, e.trial_out = false;
-    e.next_trial = now_ + trial_every;
+    e.doubted = true, e.silent = silent;
+    e.next_trial = now_ + trial_gap();
     say(silent ? "doubted: silent for %.0f ms, usual %.0f" : "doubted: %.0f of %.0f sends failed", seen,
         usual, &id);
   }
 
   void trust(const EngineId& id, Engine& e) {
-    e.doubted = e.silent = e.trial_out = false;
+    e.doubted = e.silent = false;
     say("trusted again", 0, 0, &id);
   }
 
-  void judge(const EngineId& id, Engine& e, const Send& s, const SendEnded& end) {
+  void judge(const EngineId& id, Engine& e, const Inference& f, const Send& s, const SendEnded& end) {
     if (end.as == EndedAs::TimedOut || end.as == EndedAs::Cancelled || end.as == EndedAs::Moot) return;
     const bool lost = end.as == EndedAs::Reset || end.as == EndedAs::ConnectFailed;
     const bool failed = lost || end.as == EndedAs::Errored;
-    if (end.as == EndedAs::Full && !end.no_state) e.full_until = now_ + full_memory;
+    if (end.as == EndedAs::Full && !end.no_state) close(e, f, end.elapsed * close_for);
     e.failures.add(now_, failed ? 1 : 0);
     const auto recent = e.failures.since(now_ - sample_life);
     const double bad = sum(recent), all = static_cast<double>(recent.size());
-    e.trial_out = false;
-    if (e.doubted) e.next_trial = failed ? now_ + trial_every : now_;
+    if (e.doubted) e.next_trial = failed ? now_ + trial_gap() : now_;
     if (failed) {
       if (bad >= failing_share * all && (bad >= 3 || lost)) doubt(id, e, false, bad, all);
       return;
@@ -737,7 +867,7 @@
       if (stage(e) == Stage::Read && !e.doubted && usable(f, id, e, false))
         if (const double cost = reader_cost(f, e); cost < least) best = id, least = cost;
     if (!best) return;
-    engines_[*best].reading[f.what.inf] = std::max(1.0, to_read(f, engines_[*best]));
+    engines_[*best].reading[f.what.inf] = {std::max(1.0, to_read(f, engines_[*best])), now_};
     send(f, *best, true);
   }
 
@@ -826,6 +956,11 @@
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
   LastFew after_read_;
   std::map<std::uint8_t, double> rates_;
+  std::map<std::uint8_t, std::pair<std::size_t, double>> medians_;  // of the kind's samples, and how many
+  Flow reading_, writing_;
+  std::deque<std::pair<EngineId, EngineId>> siblings_;
+  std::map<std::uint16_t, std::size_t> racks_;
+  std::vector<std::pair<double, const Candidate*>> near_;
   std::vector<std::pair<double, InfId>> line_;  // those that wait, most urgent first
   std::vector<InfId> ended_;
   std::vector<Action> out_;
