Home readers: fronts agree by hash on where a session's texts are looked for

Cause: a session's turns come in through many fronts, each of which knows little of what readers keep, so prompts were read anew.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -151,7 +151,7 @@
   double answer_tokens = 0;
   Phase phase = Phase::Waiting;
   Stage waits_for = Stage::Read;
-  std::optional<EngineId> writer, state_at, place_at;
+  std::optional<EngineId> writer, state_at, place_at, home;
   std::optional<bool> place_held;  // none until the place asked for was answered
   int places = 0;
   std::vector<Send> sends;
@@ -210,7 +210,8 @@
     if (a.answer_hint && r.token_pace > Span{})
       f.answer_tokens = std::clamp(*a.answer_hint / r.token_pace, 1.0, std::max(1.0, a.max_answer_tokens));
     if (a.budget <= answer_margin + tick) finish(f);
-    else book_siblings(f);
+    f.home = home(a.session);
+    if (f.phase != Phase::Over) book_siblings(f);
   }
 
   void on(const StreamStarted& e) {
@@ -411,8 +412,13 @@
       all.push_back(c);
     }
     const auto more = siblings_each / 2 + random_() % siblings_each;
+    if (all.empty()) return;
     for (auto k = siblings_.empty() ? siblings_kept : more; k > 0; --k) {
+      Candidate& home = all[random_() % all.size()];
+      const double saved = home_found_ * f.what.prompt_tokens / rate(home.engine->entry.kind);
+      home.read -= saved;
       const auto [reader, writer] = cheapest(all);
+      home.read += saved;
       if (!reader) return;
       ++reader->engine->read_for, ++writer->engine->write_for;
       siblings_.emplace_back(reader->id, writer->id);
@@ -425,7 +431,7 @@
 
   double others(const Engine& e, bool reads) const {
     const double part = ((reads ? e.read_for : e.write_for) + e.turn) / siblings_kept;
-    return (s_.fronts - 1) * (reads ? reading_ : writing_).tokens * part;
+    return (s_.fronts - 1) * std::max(1.0, (reads ? reading_ : writing_).tokens) * part;
   }
 
   void book_writer(Inference& f, const EngineId& id) {
@@ -561,21 +567,48 @@
     return far_seconds * (far + (to.entry.zone != s_.zone ? s_.zone_price : 0.0));
   }
 
-  // What of the prompt this reader should not have kept.
+  // What of the prompt this reader should not have kept. A session's turns come in through many fronts: they
+  // agree without talking on the reader where its texts are looked for, while the table knows nothing.
   double to_read(const Inference& f, const Engine& e) const {
+    const double found = f.home == e.entry.engine ? home_found_ * f.what.prompt_tokens : 0;
+    return std::max(0.0, f.what.prompt_tokens - std::max(found, known(f, e)));
+  }
+
+  double known(const Inference& f, const Engine& e) const {
     double found = 0;
     for (const auto& [key, most] : {std::pair{f.what.session, f.what.prompt_tokens},
                                     std::pair{f.what.shared_text, f.what.shared_tokens}})
       if (const auto it = e.kept.find(key);
           key != 0 && it != e.kept.end() && it->second.second >= e.kept_since)
         found = std::max(found, std::min(it->second.first, most));
-    return std::max(0.0, f.what.prompt_tokens - found);
+    return found;
+  }
+
+  std::optional<EngineId> home(TextKey session) const {
+    std::pair<std::uint64_t, std::optional<EngineId>> best;
+    for (const auto& [id, e] : engines_) {
+      if (session == 0 || e.lifecycle != Lifecycle::Ready || stage(e) == Stage::Write) continue;
+      std::uint64_t h = session;
+      for (std::uint64_t part : {std::uint64_t{id.address[0]}, std::uint64_t{id.address[1]},
+                                 std::uint64_t{id.address[2]}, std::uint64_t{id.address[3]},
+                                 std::uint64_t{id.port}}) {
+        h = (h ^ part) * 0x9E3779B97F4A7C15ULL;
+        h ^= h >> 29;
+      }
+      if (!best.second || h > best.first) best = {h, id};
+    }
+    return best.second;
   }
 
   // A reader keeps what was touched last: once a text proves gone, all touched before it are taken to be gone
   // too. Covers eviction, forgotten texts and restarts that nobody told of.
   void learn(const Inference& f, Engine& e, double found) {
-    if (found < (f.what.prompt_tokens - to_read(f, e)) / 2) {
+    if (f.home == e.entry.engine) {
+      homes_.add(now_, found / std::max(1.0, f.what.prompt_tokens));
+      const auto all = homes_.since(now_ - flow_window);
+      home_found_ = sum(all) / static_cast<double>(all.size());
+    }
+    if (found < known(f, e) / 2) {
       Instant oldest = now_;
       for (TextKey key : {f.what.session, f.what.shared_text})
         if (const auto it = e.kept.find(key); it != e.kept.end())
@@ -954,7 +987,8 @@
   std::map<EngineId, Engine> engines_;
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
-  LastFew after_read_;
+  LastFew after_read_, homes_{bookings_kept};
+  double home_found_ = 0.5;  // share of a prompt that its session's home has kept
   std::map<std::uint8_t, double> rates_;
   std::map<std::uint8_t, std::pair<std::size_t, double>> medians_;  // of the kind's samples, and how many
   Flow reading_, writing_;
