--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -43,7 +43,7 @@
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
 constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
-constexpr double writer_seconds = 1.0, far_seconds = 5.0;  // full writer memory, and prices, in read seconds
+constexpr double writer_seconds = 1.0, far_seconds = 1.5;  // full writer memory, and prices, in read seconds
 constexpr double cold_share = 0.7, cold_surely = 0.2, cold_least = 0.3;  // of the budget; sends a window
 constexpr double silence_deviations = 6.0;
 constexpr double failing_share = 0.25, needed_margin = 1.5;  // the latter: what seems just in time is late
