--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -43,7 +43,7 @@
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
 constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
-constexpr double writer_seconds = 1.0, far_seconds = 1.5;  // full writer memory, and prices, in read seconds
+constexpr double writer_seconds = 1.0, far_seconds = 5.0;  // full writer memory, and prices, in read seconds
 constexpr double cold_share = 0.7, cold_surely = 0.2, cold_least = 0.3;  // of the budget; sends a window
 constexpr double silence_deviations = 6.0;
 constexpr double failing_share = 0.25, needed_margin = 1.5;  // the latter: what seems just in time is late
@@ -138,9 +138,12 @@
   EngineId id;
   Engine* engine;
   bool reads, writes, itself;
-  double read, read_each, write, write_each;
+  double read, read_each, write, write_each, write_weight;
   double read_now() const { return read + read_each * (engine->read_for + engine->turn); }
-  double write_now() const { return write + write_each * (engine->write_for + engine->turn); }
+  double write_now() const {
+    const double share = write_each * (engine->write_for + engine->turn);
+    return write + write_weight * share / std::max(0.1, 1.2 - share);
+  }
 };
 
 enum class Phase { Waiting, Reading, Handing, Answering, Streaming, Over };
@@ -346,7 +349,7 @@
       for (const Candidate& c : all) reads |= c.reads, writes |= c.writes;
       for (auto& [id, e] : engines_) {
         if (!usable(f, id, e, any)) continue;
-        Candidate c{id, &e, false, false, reads_itself(e), 0, 0, 0, 0};
+        Candidate c{id, &e, false, false, reads_itself(e), 0, 0, 0, 0, 0};
         c.reads = !reads && may_read(e) && !reader_full(e, f);
         c.writes = !writes && may_write(e) && !writer_full(e, f);
         if (!c.reads && !c.writes) continue;
@@ -402,13 +405,13 @@
     std::vector<Candidate> all;
     for (auto& [id, e] : engines_) {
       if (e.lifecycle != Lifecycle::Ready || e.doubted) continue;
-      Candidate c{id, &e, may_read(e), may_write(e), reads_itself(e), 0, 0, 0, 0};
+      Candidate c{id, &e, may_read(e), may_write(e), reads_itself(e), 0, 0, 0, 0, 0};
       const double read = slowness(e) * coldness(e) / rate(e.entry.kind);
-      const double write = writer_seconds * slowness(e) * coldness(e) / memory(e) / size(e);
       c.read = f.what.prompt_tokens * read + way_cost(nullptr, e);
       c.write = way_cost(nullptr, e);
       c.read_each = (s_.fronts - 1) * std::max(1.0, reading_.tokens) / siblings_kept * read;
-      c.write_each = (s_.fronts - 1) * std::max(1.0, writing_.tokens) / siblings_kept * write;
+      c.write_each = (s_.fronts - 1) * std::max(1.0, writing_.tokens) / siblings_kept / memory(e);
+      c.write_weight = writer_seconds * slowness(e) * coldness(e) / size(e);
       all.push_back(c);
     }
     const auto more = siblings_each / 2 + random_() % siblings_each;
@@ -524,9 +527,12 @@
 
   double size(const Engine& e) const { return s_.sizes_told ? std::max(0.1, e.entry.size) : 1.0; }
   double writer_cost(const Engine& e) {
-    return writer_seconds * writer_load(e) / memory(e) / size(e) * slowness(e) * coldness(e);
+    return writer_seconds * crowding(writer_load(e) / memory(e)) / size(e) * slowness(e) * coldness(e);
   }
 
+  // Booked load by the room it leaves: the first half costs little, the last quarter much.
+  static double crowding(double share) { return share / std::max(0.1, 1.2 - share); }
+
   double writer_load(const Engine& e) const {
     const double own = booked(e.writing);
     if (!tells_memory(e)) return own + others(e, false);
