--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -33,7 +33,7 @@
 constexpr Span trial_every = Span::millis(1000);
 constexpr Span flow_window = Span::millis(30000);
 constexpr Span worked_out_every = Span::millis(50);  // paces and rates
-constexpr int places_asked = 3;
+constexpr int places_asked = 10;
 constexpr double close_for = 40;  // times what a full answer took: asking again costs as much again
 constexpr Span report_life = Span::millis(3000);
 constexpr std::size_t samples_kept = 16, bookings_kept = 24, texts_kept = 16384;
