Homes by shared text, and by session among them

A text's readers are its own by hash, as many as its share of arrivals would fill; a session picks one of them.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -33,6 +33,8 @@
 constexpr Span trial_every = Span::millis(1000);
 constexpr Span flow_window = Span::millis(30000);
 constexpr Span worked_out_every = Span::millis(50);  // paces and rates
+constexpr std::size_t texts_seen = 32;
+constexpr double homes_a_text = 1.5;  // times the readers that its share of the arrivals would fill
 constexpr int places_asked = 10;
 constexpr double close_for = 40;  // times what a full answer took: asking again costs as much again
 constexpr Span report_life = Span::millis(3000);
@@ -213,7 +215,7 @@
     if (a.answer_hint && r.token_pace > Span{})
       f.answer_tokens = std::clamp(*a.answer_hint / r.token_pace, 1.0, std::max(1.0, a.max_answer_tokens));
     if (a.budget <= answer_margin + tick) finish(f);
-    f.home = home(a.session);
+    f.home = home(a);
     if (f.phase != Phase::Over) book_siblings(f);
   }
 
@@ -418,7 +420,7 @@
     if (all.empty()) return;
     for (auto k = siblings_.empty() ? siblings_kept : more; k > 0; --k) {
       Candidate& home = all[random_() % all.size()];
-      const double saved = home_found_ * f.what.prompt_tokens / rate(home.engine->entry.kind);
+      const double saved = found_at_home(f) / rate(home.engine->entry.kind);
       home.read -= saved;
       const auto [reader, writer] = cheapest(all);
       home.read += saved;
@@ -576,10 +578,14 @@
   // What of the prompt this reader should not have kept. A session's turns come in through many fronts: they
   // agree without talking on the reader where its texts are looked for, while the table knows nothing.
   double to_read(const Inference& f, const Engine& e) const {
-    const double found = f.home == e.entry.engine ? home_found_ * f.what.prompt_tokens : 0;
+    const double found = f.home == e.entry.engine ? found_at_home(f) : 0;
     return std::max(0.0, f.what.prompt_tokens - std::max(found, known(f, e)));
   }
 
+  double found_at_home(const Inference& f) const {
+    return f.what.shared_tokens + home_found_ * (f.what.prompt_tokens - f.what.shared_tokens);
+  }
+
   double known(const Inference& f, const Engine& e) const {
     double found = 0;
     for (const auto& [key, most] : {std::pair{f.what.session, f.what.prompt_tokens},
@@ -590,27 +596,38 @@
     return found;
   }
 
-  std::optional<EngineId> home(TextKey session) const {
-    std::pair<std::uint64_t, std::optional<EngineId>> best;
-    for (const auto& [id, e] : engines_) {
-      if (session == 0 || e.lifecycle != Lifecycle::Ready || stage(e) == Stage::Write) continue;
-      std::uint64_t h = session;
-      for (std::uint64_t part : {std::uint64_t{id.address[0]}, std::uint64_t{id.address[1]},
-                                 std::uint64_t{id.address[2]}, std::uint64_t{id.address[3]},
-                                 std::uint64_t{id.port}}) {
-        h = (h ^ part) * 0x9E3779B97F4A7C15ULL;
-        h ^= h >> 29;
-      }
-      if (!best.second || h > best.first) best = {h, id};
+  // By hash: a few readers for each shared text, more the oftener it comes; one of them for each session.
+  std::optional<EngineId> home(const Arrived& a) {
+    texts_.push_back(a.shared_text);
+    if (texts_.size() > texts_seen) texts_.pop_front();
+    std::vector<std::pair<std::uint64_t, EngineId>> readers;
+    for (const auto& [id, e] : engines_)
+      if (e.lifecycle == Lifecycle::Ready && may_read(e)) readers.emplace_back(hash(a.shared_text, id), id);
+    if (readers.empty() || a.session == 0) return {};
+    if (a.shared_text != 0) {
+      const auto seen = static_cast<double>(std::count(texts_.begin(), texts_.end(), a.shared_text));
+      const double part = seen / static_cast<double>(texts_.size()) * static_cast<double>(readers.size());
+      std::sort(readers.begin(), readers.end());
+      readers.resize(std::min(readers.size(), static_cast<std::size_t>(std::ceil(homes_a_text * part + 1))));
+    }
+    for (auto& [h, id] : readers) h = hash(a.session, id);
+    return std::max_element(readers.begin(), readers.end())->second;
+  }
+  static std::uint64_t hash(std::uint64_t key, const EngineId& id) {
+    for (const std::uint64_t part : std::initializer_list<std::uint64_t>{id.address[0] * 256ULL + id.address[1], id.address[2] * 256ULL + id.address[3],
+                                                                     id.port}) {
+      key = (key ^ part) * 0x9E3779B97F4A7C15ULL;
+      key ^= key >> 29;
     }
-    return best.second;
+    return key;
   }
 
   // A reader keeps what was touched last: once a text proves gone, all touched before it are taken to be gone
   // too. Covers eviction, forgotten texts and restarts that nobody told of.
   void learn(const Inference& f, Engine& e, double found) {
     if (f.home == e.entry.engine) {
-      homes_.add(now_, found / std::max(1.0, f.what.prompt_tokens));
+      const double beyond = f.what.prompt_tokens - f.what.shared_tokens;
+      homes_.add(now_, std::clamp((found - f.what.shared_tokens) / std::max(1.0, beyond), 0.0, 1.0));
       const auto all = homes_.since(now_ - flow_window);
       home_found_ = sum(all) / static_cast<double>(all.size());
     }
@@ -994,7 +1011,8 @@
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
   LastFew after_read_, homes_{bookings_kept};
-  double home_found_ = 0.5;  // share of a prompt that its session's home has kept
+  std::deque<TextKey> texts_;  // shared texts of the last arrivals
+  double home_found_ = 0.5;  // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, double> rates_;
   std::map<std::uint8_t, std::pair<std::size_t, double>> medians_;  // of the kind's samples, and how many
   Flow reading_, writing_;
