Readers count as full by what reads lately waited beyond the own bookings; the late are told then

Cause: at a front with an inference a second the own books say nothing of the queues at readers; reads took 1 to 3 s and half of what was served came late.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -31,6 +31,7 @@
 constexpr Span sample_life = Span::millis(12000);  // older samples no longer speak for an engine
 constexpr Span full_memory = Span::millis(250);    // how long a full answer counts as recent
 constexpr Span trial_every = Span::millis(1000);
+constexpr Span wait_life = Span::millis(3000);
 constexpr Span flow_window = Span::millis(30000);
 constexpr Span worked_out_every = Span::millis(50);  // paces and rates
 constexpr std::size_t texts_seen = 32;
@@ -185,6 +186,7 @@
   std::vector<Action> handle(Instant now, const Event& event) {
     if (!begun_at_) begun_at_ = now;
     if (std::exchange(now_, now) != now) reading_.work_out(now, *begun_at_), writing_.work_out(now, *begun_at_);
+    unseen_wait_ = quantile(waits_.since(now - wait_life), 0.5, 0);
     if (s_.list_must_be_asked &&
         (!asked_at_ || now_ - *asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every)))
       asked_ = true, asked_at_ = now_, out_.push_back(Subscribe{true});
@@ -335,7 +337,7 @@
     }
     // While others can still be in time, the late are told at once, with a time to come back.
     for (Inference* f : late)
-      if (anew && on_time && !f->any_out()) finish(*f, true);
+      if (anew && !f->any_out() && (on_time || full_by_wait())) finish(*f, true);
     tell_holding(!held.empty());
   }
 
@@ -561,8 +563,11 @@
     return writer_load(e) + f.whole() > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
   }
 
+  bool full_by_wait() const { return unseen_wait_ > smallest_target_.seconds() * reader_wait_bound; }
   bool reader_full(const Engine& e, const Inference& f) {
-    if (closed(e, f) || e.reading.empty()) return closed(e, f);
+    if (closed(e, f)) return true;
+    if (full_by_wait()) return true;
+    if (e.reading.empty()) return false;
     const double tokens = booked(e.reading) + others(e, true);
     if (tokens + f.what.prompt_tokens > memory(e)) return true;
     const double bound = stage(e) == Stage::Read ? reader_wait_bound : mixed_wait_bound;
@@ -872,6 +877,8 @@
     }
     sign_of_life(id);
     if (e.doubted && bad < failing_share * all) trust(id, e);
+    if (end.as == EndedAs::ReadDone)
+      waits_.add(now_, end.elapsed.seconds() - (s.work + read_overhead) / rate(e.entry.kind));
     if (end.as == EndedAs::ReadDone) e.pace.add(now_, end.elapsed.seconds() / (s.work + read_overhead));
   }
 
@@ -940,7 +947,7 @@
   Span needed(const Inference& f) {
     const double least = least_at_readers([&](const Engine& e) { return reader_cost(f, e); });
     const double after = quantile(after_read_.since(now_ - sample_life), 0.75, 0.05);
-    return Span::from_seconds(((least < never ? least : 0.0) + after) * needed_margin);
+    return Span::from_seconds(((least < never ? least : 0.0) + unseen_wait_ + after) * needed_margin);
   }
 
   // Worth per unit of the scarce role's work: what is mostly kept already costs a reader little. The worst
@@ -1010,7 +1017,8 @@
   std::map<EngineId, Engine> engines_;
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
-  LastFew after_read_, homes_{bookings_kept};
+  double unseen_wait_ = 0;  // what reads lately took beyond what this front had booked there
+  LastFew waits_{5}, after_read_, homes_{bookings_kept};
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
   double home_found_ = 0.5;  // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, double> rates_;
