--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -46,7 +46,7 @@
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
 constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
-constexpr double writer_seconds = 1.0, far_seconds = 5.0;  // full writer memory, and prices, in read seconds
+constexpr double writer_seconds = 1.0, far_seconds = 2.0;  // full writer memory, and prices, in read seconds
 constexpr double cold_share = 0.7, cold_surely = 0.2, cold_least = 0.3;  // of the budget; sends a window
 constexpr double silence_deviations = 6.0;
 constexpr double failing_share = 0.25, needed_margin = 1.5;  // the latter: what seems just in time is late
@@ -186,6 +186,8 @@
   std::vector<Action> handle(Instant now, const Event& event) {
     if (!begun_at_) begun_at_ = now;
     if (std::exchange(now_, now) != now) reading_.work_out(now, *begun_at_), writing_.work_out(now, *begun_at_);
+    far_extra_ = std::max(0.0, quantile(far_moves_.since(now - sample_life), 0.5, 0) -
+                                   quantile(near_moves_.since(now - sample_life), 0.5, 0));
     unseen_wait_ = quantile(waits_.since(now - wait_life), 0.5, 0);
     if (s_.list_must_be_asked &&
         (!asked_at_ || now_ - *asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every)))
@@ -388,7 +390,7 @@
       if (w.first < near_[c.engine->rack].first) near_[c.engine->rack] = w;
       if (w.first < least.first) least = w;
     }
-    least.first += far_seconds * s_.far_price;
+    least.first += far_seconds * s_.far_price + far_extra_;
     double best = never;
     std::pair<const Candidate*, const Candidate*> pair{};
     for (const Candidate& c : all) {
@@ -576,8 +578,9 @@
 
   // The price of a send to another zone and, if a state moves, of a move to another rack.
   double way_cost(const Engine* from, const Engine& to) const {
-    const double far = from && from->entry.rack != to.entry.rack ? s_.far_price : 0.0;
-    return far_seconds * (far + (to.entry.zone != s_.zone ? s_.zone_price : 0.0));
+    const bool far = from && from->entry.rack != to.entry.rack;
+    const double zone = to.entry.zone != s_.zone ? far_seconds * s_.zone_price : 0.0;
+    return zone + (far ? far_seconds * s_.far_price + far_extra_ : 0.0);
   }
 
   // What of the prompt this reader should not have kept. A session's turns come in through many fronts: they
@@ -839,8 +842,15 @@
 
   void watch(const EngineId& id, Engine& e) {
     if (e.lifecycle != Lifecycle::Ready || e.awaited.empty() || e.doubted) return;
+    // A slow link looks like a silent writer: what comes from another rack may take a target's time.
     double work = 0;
-    for (const auto& [key, at] : e.awaited) work = std::max(work, find(key.first, key.second).second->work);
+    bool far = true;
+    for (const auto& [key, at] : e.awaited) {
+      const Send& s = *find(key.first, key.second).second;
+      work = std::max(work, s.work);
+      far = far && s.far;
+    }
+    if (far && silence(e) < smallest_target_) return;
     const Span usual = patience(e) + Span::from_seconds(work / rate(e.entry.kind));
     if (silence(e) > usual) doubt(id, e, true, silence(e).as_millis(), usual.as_millis());
   }
@@ -887,6 +897,7 @@
     if (!e || !f.state_at) return;
     const double per_1000 = elapsed.seconds() / std::max(0.5, f.what.prompt_tokens / 1000);
     after_read_.add(now_, elapsed.seconds());
+    (s.far ? far_moves_ : near_moves_).add(now_, elapsed.seconds());
     if (!s.far) e->first_token.add(now_, per_1000);
   }
 
@@ -1018,7 +1029,8 @@
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
   double unseen_wait_ = 0;  // what reads lately took beyond what this front had booked there
-  LastFew waits_{5}, after_read_, homes_{bookings_kept};
+  double far_extra_ = 0;    // what moves to another rack lately took longer than those within one
+  LastFew far_moves_{8}, near_moves_{8}, waits_{5}, after_read_, homes_{bookings_kept};
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
   double home_found_ = 0.5;  // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, double> rates_;
