--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -114,7 +114,7 @@
   Ledger reading, writing;
   std::map<TextKey, Kept> kept;  // prefix table
   Instant kept_since;            // texts last touched before this are taken to be gone
-  LastFew gaps, pace, first_token, failures;
+  LastFew waits{5}, gaps, pace, first_token, failures;
   std::map<std::pair<InfId, std::size_t>, Instant> awaited;  // sends not begun, by when they were sent
   std::map<std::size_t, Instant> full_until;                 // by model route
   Instant last_sign, last_send, heard, next_trial, cold_since, report_at;
@@ -339,7 +339,7 @@
     }
     // While others can still be in time, the late are told at once, with a time to come back.
     for (Inference* f : late)
-      if (anew && !f->any_out() && (on_time || full_by_wait())) finish(*f, true);
+      if (anew && !f->any_out() && (on_time || unseen_wait_ > reader_wait_bound * smallest_target_.seconds())) finish(*f, true);
     tell_holding(!held.empty());
   }
 
@@ -565,10 +565,13 @@
     return writer_load(e) + f.whole() > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
   }
 
-  bool full_by_wait() const { return unseen_wait_ > smallest_target_.seconds() * reader_wait_bound; }
+  // What reads lately took there beyond what this front had booked; where none ended, at any reader.
+  double unseen_wait(const Engine& e) const {
+    return quantile(e.waits.since(now_ - wait_life), 0.5, unseen_wait_);
+  }
   bool reader_full(const Engine& e, const Inference& f) {
     if (closed(e, f)) return true;
-    if (full_by_wait()) return true;
+    if (unseen_wait(e) > smallest_target_.seconds() * reader_wait_bound) return true;
     if (e.reading.empty()) return false;
     const double tokens = booked(e.reading) + others(e, true);
     if (tokens + f.what.prompt_tokens > memory(e)) return true;
@@ -888,7 +891,8 @@
     sign_of_life(id);
     if (e.doubted && bad < failing_share * all) trust(id, e);
     if (end.as == EndedAs::ReadDone)
-      waits_.add(now_, end.elapsed.seconds() - (s.work + read_overhead) / rate(e.entry.kind));
+      for (LastFew* waits : {&waits_, &e.waits})
+        waits->add(now_, end.elapsed.seconds() - (s.work + read_overhead) / rate(e.entry.kind));
     if (end.as == EndedAs::ReadDone) e.pace.add(now_, end.elapsed.seconds() / (s.work + read_overhead));
   }
 
@@ -956,9 +960,10 @@
 
   // Until its first token, if it were booked now: the cheapest read, and what lately came after reads.
   Span needed(const Inference& f) {
-    const double least = least_at_readers([&](const Engine& e) { return reader_cost(f, e); });
+    const double least =
+        least_at_readers([&](const Engine& e) { return reader_cost(f, e) + unseen_wait(e); });
     const double after = quantile(after_read_.since(now_ - sample_life), 0.75, 0.05);
-    return Span::from_seconds(((least < never ? least : 0.0) + unseen_wait_ + after) * needed_margin);
+    return Span::from_seconds(((least < never ? least : 0.0) + after) * needed_margin);
   }
 
   // Worth per unit of the scarce role's work: what is mostly kept already costs a reader little. The worst
@@ -1030,7 +1035,7 @@
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
   double unseen_wait_ = 0;  // what reads lately took beyond what this front had booked there
   double far_extra_ = 0;    // what moves to another rack lately took longer than those within one
-  LastFew far_moves_{8}, near_moves_{8}, waits_{5}, after_read_, homes_{bookings_kept};
+  LastFew far_moves_{8}, near_moves_{8}, waits_{16}, after_read_, homes_{bookings_kept};
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
   double home_found_ = 0.5;  // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, double> rates_;
