--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -892,7 +892,7 @@
     if (e.doubted && bad < failing_share * all) trust(id, e);
     if (end.as == EndedAs::ReadDone)
       for (LastFew* waits : {&waits_, &e.waits})
-        waits->add(now_, end.elapsed.seconds() - (s.work + read_overhead) / rate(e.entry.kind));
+        waits->add(now_, end.elapsed.seconds() - 2 * (s.work + read_overhead) / rate(e.entry.kind));
     if (end.as == EndedAs::ReadDone) e.pace.add(now_, end.elapsed.seconds() / (s.work + read_overhead));
   }
 
