A send that must open a connection costs what opening one lately took

Cause: with slow handshakes two sends in five got no connection, for a front meets each of a hundred engines but once a minute.

--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -72,6 +72,7 @@
   double fall_multiple = 1;
   Span fall;
   Span ask_within;
+  Span link_idle;
   double far_price = 0;
   double zone_price = 0;
   double whole_weight = 1;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -120,6 +120,8 @@
   Instant last_sign, last_send, heard, next_trial, cold_since, report_at;
   bool cold = false, doubted = false, silent = false, sent = false;
   std::size_t rack = 0;
+  int out = 0;
+  Instant linked_until;
   double turn = 0;          // where this front stands among all, in [0, 1)
   int read_for = 0, write_for = 0;  // siblings booked here
   std::optional<LoadReport> report;
@@ -160,6 +162,8 @@
   std::optional<EngineId> writer, state_at, place_at, home;
   std::optional<bool> place_held;  // none until the place asked for was answered
   int places = 0;
+  Instant place_asked;
+  bool place_opens = false;  // there was no open connection for the place's question
   std::vector<Send> sends;
   std::set<EngineId> failed_at;
 
@@ -186,6 +190,7 @@
   std::vector<Action> handle(Instant now, const Event& event) {
     if (!begun_at_) begun_at_ = now;
     if (std::exchange(now_, now) != now) reading_.work_out(now, *begun_at_), writing_.work_out(now, *begun_at_);
+    link_cost_ = quantile(links_.since(now - sample_life), 0.5, 0);
     far_extra_ = std::max(0.0, quantile(far_moves_.since(now - sample_life), 0.5, 0) -
                                    quantile(near_moves_.since(now - sample_life), 0.5, 0));
     unseen_wait_ = quantile(waits_.since(now - wait_life), 0.5, 0);
@@ -243,6 +248,7 @@
     const auto it = infs_.find(e.inf);
     if (it == infs_.end() || !it->second.place_at || it->second.place_held) return;
     Inference& f = it->second;
+    if (f.place_opens) links_.add(now_, (now_ - f.place_asked).seconds());
     f.place_held = e.held;  // the answer rides on the read; it names the reader, not the place
     sign_of_life(*f.place_at);
     Engine* eng = engine(*f.place_at);
@@ -258,6 +264,11 @@
     take_report(engine(e.engine), e.report);
     if (!s || !s->out) return;
     s->out = false;
+    if (Engine* eng = engine(s->engine)) {
+      --eng->out;
+      if (e.as == EndedAs::ConnectFailed) links_.add(now_, e.elapsed.seconds() * 2), eng->linked_until = now_;
+      else if (e.as != EndedAs::Moot) eng->linked_until = now_ + s_.link_idle;
+    }
     if (proves_unrun(e.as) || s->to_reader) s->ran = false;
     if (Engine* eng = engine(s->engine)) {
       judge(s->engine, *eng, *f, *s, e);
@@ -464,6 +475,7 @@
 
   void hold_place(Inference& f) {
     f.place_at = f.writer, f.place_held.reset(), ++f.places;
+    f.place_asked = now_, f.place_opens = !linked(engines_[*f.writer]);
     out_.push_back(HoldPlace{f.what.inf, *f.writer});
   }
 
@@ -528,12 +540,19 @@
       waiting +=
           std::max(0.0, *e.report->inferences_held - static_cast<double>(e.reading.size())) * read_overhead;
     else waiting += others(e, true);
-    return (read_weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e);
+    return (read_weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e) +
+           link_cost(e);
   }
 
+  // A send to an engine with no open connection costs what opening one lately took. Guards against slow or
+  // failing handshakes; by keeping to fewer engines it could leave some idle.
+  bool linked(const Engine& e) const { return e.out > 0 || now_ < e.linked_until; }
+  double link_cost(const Engine& e) const { return linked(e) ? 0 : link_cost_; }
+
   double size(const Engine& e) const { return s_.sizes_told ? std::max(0.1, e.entry.size) : 1.0; }
   double writer_cost(const Engine& e) {
-    return writer_seconds * crowding(writer_load(e) / memory(e)) / size(e) * slowness(e) * coldness(e);
+    return writer_seconds * crowding(writer_load(e) / memory(e)) / size(e) * slowness(e) * coldness(e) +
+           link_cost(e);
   }
 
   // Booked load by the room it leaves: the first half costs little, the last quarter much.
@@ -774,6 +793,7 @@
       s.far = from->entry.rack != e.entry.rack;
     f.sends.push_back(s);
     e.awaited[{f.what.inf, f.sends.size() - 1}] = now_;
+    ++e.out;
     e.sent = true, e.last_send = now_;
     if (e.doubted) e.next_trial = now_ + trial_gap();
     // Where no second copy may help a silent send, it gets a time-out that leaves room for another.
@@ -1035,7 +1055,8 @@
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
   double unseen_wait_ = 0;  // what reads lately took beyond what this front had booked there
   double far_extra_ = 0;    // what moves to another rack lately took longer than those within one
-  LastFew far_moves_{8}, near_moves_{8}, waits_{16}, after_read_, homes_{bookings_kept};
+  double link_cost_ = 0;
+  LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_, homes_{bookings_kept};
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
   double home_found_ = 0.5;  // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, double> rates_;
--- a/src/simhost/settings.cpp
+++ b/src/simhost/settings.cpp
@@ -150,6 +150,7 @@
   s.cold_from = p.number("rules.cold_from", 1);
   s.fall_multiple = p.number("rules.fall_multiple", 1);
   s.fall = p.span("rules.fall");
+  s.link_idle = p.span("allowed.conn_idle");
   s.ask_within = p.span("rules.ask_within");
   s.far_price = p.number("family_info.far_price", 0);
   s.zone_price = p.number("penalties.cross_zone", 0);
