--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -423,7 +423,7 @@
     for (auto& [id, e] : engines_) {
       if (e.lifecycle != Lifecycle::Ready || e.doubted) continue;
       Candidate c{id, &e, may_read(e), may_write(e), reads_itself(e), 0, 0, 0, 0, 0};
-      const double read = slowness(e) * coldness(e) / rate(e.entry.kind) * (stage(e) == Stage::Read ? 1 : 3);
+      const double read = slowness(e) * coldness(e) / rate(e.entry.kind) * (stage(e) == Stage::Read ? 1 : 5);
       c.read = f.what.prompt_tokens * read + way_cost(nullptr, e);
       c.write = way_cost(nullptr, e);
       c.read_each = (s_.fronts - 1) * std::max(1.0, reading_.tokens) / siblings_kept * read;
@@ -540,7 +540,7 @@
       waiting +=
           std::max(0.0, *e.report->inferences_held - static_cast<double>(e.reading.size())) * read_overhead;
     else waiting += others(e, true);
-    const double both = stage(e) == Stage::Read ? 1 : 3;
+    const double both = stage(e) == Stage::Read ? 1 : 5;
     return both * (read_weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e) +
            link_cost(e);
   }
