--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -42,7 +42,7 @@
 constexpr std::size_t samples_kept = 16, bookings_kept = 24, texts_kept = 16384;
 constexpr std::size_t siblings_kept = 1024, siblings_each = 64;  // in all, and booked anew at each arrival
 constexpr Span queue_sign = Span::millis(150);  // a near fetch not begun for so long waits in a queue
-constexpr double read_weight = 2.5;             // of prompt tokens still to read, against tokens booked
+constexpr double read_weight = 5;             // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
 constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
