--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -341,7 +341,7 @@
       if (!anew && held.size() >= 3) break;
       Inference& f = it->second;
       if (!may_send(f)) give_up_if_idle(f);
-      else if (f.ends - now_ <= needed(f) + answer_margin) finish(f, true);
+      else if (f.ends - now_ <= needed(f, f.ends < f.target ? 1 : read_weight) + answer_margin) finish(f, true);
       if (f.phase != Phase::Waiting || !may_send(f)) continue;
       if (held.size() < 3 && book(f)) continue;  // a few smaller ones may pass a large one; no more
       held.push_back(&f);
@@ -533,7 +533,7 @@
 
   void give_up_if_idle(Inference& f) { f.any_out() ? void() : finish(f); }
 
-  double reader_cost(const Inference& f, const Engine& e) {
+  double reader_cost(const Inference& f, const Engine& e, double weight = read_weight) {
     double waiting = booked(e.reading);
     if (fresh(e) && e.report->tokens_waiting) waiting = std::max(waiting, *e.report->tokens_waiting);
     else if (fresh(e) && e.report->inferences_held)
@@ -541,7 +541,7 @@
           std::max(0.0, *e.report->inferences_held - static_cast<double>(e.reading.size())) * read_overhead;
     else waiting += others(e, true);
     const double both = stage(e) == Stage::Read ? 1 : 5;
-    return both * (read_weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e) +
+    return both * (weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e) +
            link_cost(e);
   }
 
@@ -980,9 +980,9 @@
   }
 
   // Until its first token, if it were booked now: the cheapest read, and what lately came after reads.
-  Span needed(const Inference& f) {
+  Span needed(const Inference& f, double weight = read_weight) {
     const double least =
-        least_at_readers([&](const Engine& e) { return reader_cost(f, e) + unseen_wait(e); });
+        least_at_readers([&](const Engine& e) { return reader_cost(f, e, weight) + unseen_wait(e); });
     const double after = quantile(after_read_.since(now_ - sample_life), 0.75, 0.05);
     return Span::from_seconds(((least < never ? least : 0.0) + after) * needed_margin);
   }
