--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -45,6 +45,7 @@
 constexpr double read_weight = 5;             // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
 constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
+constexpr double writers_wait_bound = 0.25;
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
 constexpr double writer_seconds = 1.0, far_seconds = 2.0;  // full writer memory, and prices, in read seconds
 constexpr double cold_share = 0.7, cold_surely = 0.2, cold_least = 0.3;  // of the budget; sends a window
@@ -193,6 +194,7 @@
     link_cost_ = quantile(links_.since(now - sample_life), 0.5, 0);
     far_extra_ = std::max(0.0, quantile(far_moves_.since(now - sample_life), 0.5, 0) -
                                    quantile(near_moves_.since(now - sample_life), 0.5, 0));
+    writers_wait_ = quantile(near_moves_.since(now - wait_life), 0.5, 0);
     unseen_wait_ = quantile(waits_.since(now - wait_life), 0.5, 0);
     if (s_.list_must_be_asked &&
         (!asked_at_ || now_ - *asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every)))
@@ -350,7 +352,7 @@
     }
     // While others can still be in time, the late are told at once, with a time to come back.
     for (Inference* f : late)
-      if (anew && !f->any_out() && (on_time || unseen_wait_ > reader_wait_bound * smallest_target_.seconds())) finish(*f, true);
+      if (anew && !f->any_out() && (on_time || overloaded())) finish(*f, true);
     tell_holding(!held.empty());
   }
 
@@ -580,11 +582,18 @@
       const Send& s = *find(key.first, key.second).second;
       if (now_ - at > queue_sign && !s.to_reader && !s.far && s.work == 0) return true;
     }
+    const double wait = quantile(e.waits.since(now_ - wait_life), 0.5, writers_wait_);
+    if (wait > writers_wait_bound * smallest_target_.seconds()) return true;
     if (closed(e, f) || (fresh(e) && e.report->waiting.value_or(0) >= 1)) return true;
     if (e.writing.empty() && !tells_memory(e)) return false;
     return writer_load(e) + f.whole() > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
   }
 
+  bool overloaded() const {
+    return unseen_wait_ > reader_wait_bound * smallest_target_.seconds() ||
+           writers_wait_ > writers_wait_bound * smallest_target_.seconds();
+  }
+
   // What reads lately took there beyond what this front had booked; where none ended, at any reader.
   double unseen_wait(const Engine& e) const {
     return quantile(e.waits.since(now_ - wait_life), 0.5, unseen_wait_);
@@ -923,6 +932,7 @@
     const double per_1000 = elapsed.seconds() / std::max(0.5, f.what.prompt_tokens / 1000);
     after_read_.add(now_, elapsed.seconds());
     (s.far ? far_moves_ : near_moves_).add(now_, elapsed.seconds());
+    if (!s.far) e->waits.add(now_, elapsed.seconds());
     if (!s.far) e->first_token.add(now_, per_1000);
   }
 
@@ -1054,6 +1064,7 @@
   std::map<EngineId, Engine> engines_;
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
+  double writers_wait_ = 0;  // what first tokens lately took after the read, within a rack
   double unseen_wait_ = 0;  // what reads lately took beyond what this front had booked there
   double far_extra_ = 0;    // what moves to another rack lately took longer than those within one
   double link_cost_ = 0;
