--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -12,16 +12,12 @@
 //   6. order     queues go by worth per work of the scarce role; the late make way while others wait
 #include "routing/router.hpp"
 
-#include <algorithm>
 #include <cmath>
 #include <cstdio>
-#include <deque>
 #include <limits>
-#include <map>
-#include <numeric>
 #include <random>
-#include <set>
-#include <utility>
+
+#include "routing/state.hpp"
 
 namespace calicograde {
 namespace {
@@ -39,10 +35,10 @@
 constexpr int places_asked = 10;
 constexpr double close_for = 40;  // times what a full answer took: asking again costs as much again
 constexpr Span report_life = Span::millis(3000);
-constexpr std::size_t samples_kept = 16, bookings_kept = 24, texts_kept = 16384;
+constexpr std::size_t samples_kept = 16, waits_kept = 5, bookings_kept = 24, texts_kept = 16384;
 constexpr std::size_t siblings_kept = 1024, siblings_each = 64;  // in all, and booked anew at each arrival
-constexpr Span queue_sign = Span::millis(150);  // a near fetch not begun for so long waits in a queue
-constexpr double read_weight = 5;             // of prompt tokens still to read, against tokens booked
+constexpr Span queue_sign = Span::millis(150);  // a fetch not begun for so long waits in a queue
+constexpr double read_weight = 5;               // of prompt tokens still to read, against tokens booked
 constexpr double writer_memory_bound = 0.9;     // where a report tells of it
 constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
 constexpr double writers_wait_bound = 0.25;
@@ -56,125 +52,18 @@
 constexpr double no_rate = 10000, no_memory = 200000;  // tokens a second until a read was seen; if not told
 constexpr double never = std::numeric_limits<double>::infinity();
 
-double quantile(std::vector<double> v, double part, double absent) {
-  if (v.empty()) return absent;
-  const auto at = v.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(v.size()) * part);
-  std::nth_element(v.begin(), at, v.end());
-  return *at;
-}
-double sum(const std::vector<double>& v) { return std::accumulate(v.begin(), v.end(), 0.0); }
-
-// The last few samples themselves; figures are worked out when asked for.
-class LastFew {
- public:
-  LastFew() = default;
-  explicit LastFew(std::size_t most) : most_(most) {}
-  void add(Instant at, double value) {
-    samples_.emplace_back(at, value);
-    if (samples_.size() > most_) samples_.pop_front();
-  }
-  bool full() const { return samples_.size() == most_; }
-  Instant oldest() const { return samples_.front().first; }
-  std::vector<double> since(Instant at, std::vector<double> out = {}) const {
-    for (const auto& [when, value] : samples_)
-      if (when >= at) out.push_back(value);
-    return out;
-  }
-
- private:
-  std::size_t most_ = samples_kept;
-  std::deque<std::pair<Instant, double>> samples_;
-};
-
-using Ledger = std::map<InfId, std::pair<double, Instant>>;  // tokens booked, and since when, by inference
-double booked(const Ledger& ledger) {
-  double tokens = 0;
-  for (const auto& [inf, b] : ledger) tokens += b.first;
-  return tokens;
-}
-
-// What this front books in one ledger, over the last bookings: a front that books seldom has, at any one
-// moment, far more or far less than its mean.
-struct Flow {
-  LastFew made{bookings_kept}, freed{bookings_kept};  // tokens; tokens x seconds
-  double a_second = 0, tokens = 0;                    // bookings, and the mean of what is booked
-  void work_out(Instant now, Instant begun) {
-    const Instant from = std::max(begun, now - flow_window);
-    const auto recent = made.since(from), held = freed.since(from);
-    const Span over = std::max(Span::millis(1000), now - (made.full() ? std::max(from, made.oldest()) : from));
-    a_second = static_cast<double>(recent.size()) / over.seconds();
-    tokens = held.empty() ? 0 : a_second * sum(held) / static_cast<double>(held.size());
-  }
-};
-
-using Kept = std::pair<double, Instant>;  // tokens, and when they were last touched
-
-struct Engine {
-  EngineEntry entry;
-  Lifecycle lifecycle = Lifecycle::Gone;
-  Ledger reading, writing;
-  std::map<TextKey, Kept> kept;  // prefix table
-  Instant kept_since;            // texts last touched before this are taken to be gone
-  LastFew waits{5}, gaps, pace, first_token, failures;
-  std::map<std::pair<InfId, std::size_t>, Instant> awaited;  // sends not begun, by when they were sent
-  std::map<std::size_t, Instant> full_until;                 // by model route
-  Instant last_sign, last_send, heard, next_trial, cold_since, report_at;
-  bool cold = false, doubted = false, silent = false, sent = false;
-  std::size_t rack = 0;
-  int out = 0;
-  Instant linked_until;
-  double turn = 0;          // where this front stands among all, in [0, 1)
-  int read_for = 0, write_for = 0;  // siblings booked here
-  std::optional<LoadReport> report;
-  double booked_at_report = 0;
-  mutable std::pair<Instant, double> slow;  // slowness, as worked out at that time
-};
-
-struct Send {
-  EngineId engine;
-  Instant at;
-  bool to_reader = false, far = false;  // far: the state comes from another rack
-  bool out = true, started = false, cancelled = false;
-  bool ran = true;  // may have run; false once proven otherwise
-  double work = 0;  // tokens to be read before it can end, those booked ahead of it included
-};
+// Booked load by the room it leaves: the first half costs little, the last quarter much.
+double crowding(double share) { return share / std::max(0.1, 1.2 - share); }
 
 // An engine as a candidate for either leg: what it costs, and what each sibling there adds.
 struct Candidate {
   EngineId id;
   Engine* engine;
-  bool reads, writes, itself;
+  bool reads, writes;
   double read, read_each, write, write_each, write_weight;
   double read_now() const { return read + read_each * (engine->read_for + engine->turn); }
   double write_now() const {
-    const double share = write_each * (engine->write_for + engine->turn);
-    return write + write_weight * share / std::max(0.1, 1.2 - share);
-  }
-};
-
-enum class Phase { Waiting, Reading, Handing, Answering, Streaming, Over };
-
-struct Inference {
-  Arrived what;
-  Instant target, ends, held_since;
-  double answer_tokens = 0;
-  Phase phase = Phase::Waiting;
-  Stage waits_for = Stage::Read;
-  std::optional<EngineId> writer, state_at, place_at, home;
-  std::optional<bool> place_held;  // none until the place asked for was answered
-  int places = 0;
-  Instant place_asked;
-  bool place_opens = false;  // there was no open connection for the place's question
-  std::vector<Send> sends;
-  std::set<EngineId> failed_at;
-
-  double whole() const { return what.prompt_tokens + answer_tokens; }
-  bool any(auto which) const { return std::any_of(sends.begin(), sends.end(), which); }
-  bool any_out() const {
-    return any([](const Send& s) { return s.out; });
-  }
-  bool out_at(bool reader) const {
-    return any([&](const Send& s) { return s.out && !s.cancelled && s.to_reader == reader; });
+    return write + write_weight * crowding(write_each * (engine->write_for + engine->turn));
   }
 };
 
@@ -183,14 +72,17 @@
 class Router::Desk {
  public:
   Desk(std::uint64_t seed, const Settings& settings)
-      : s_(settings), random_(static_cast<std::uint32_t>(seed)), served_(settings.routes.size()) {
+      : s_(settings),
+        random_(static_cast<std::uint32_t>(seed)),
+        served_(settings.routes.size(), LastFew{samples_kept}) {
     smallest_target_ = s_.routes.empty() ? Span::millis(1000) : s_.routes[0].first_token_target;
     for (const auto& r : s_.routes) smallest_target_ = std::min(smallest_target_, r.first_token_target);
   }
 
   std::vector<Action> handle(Instant now, const Event& event) {
     if (!begun_at_) begun_at_ = now;
-    if (std::exchange(now_, now) != now) reading_.work_out(now, *begun_at_), writing_.work_out(now, *begun_at_);
+    if (std::exchange(now_, now) != now)
+      for (Flow* flow : {&reading_, &writing_}) flow->work_out(now, *begun_at_, flow_window);
     link_cost_ = quantile(links_.since(now - sample_life), 0.5, 0);
     far_extra_ = std::max(0.0, quantile(far_moves_.since(now - sample_life), 0.5, 0) -
                                    quantile(near_moves_.since(now - sample_life), 0.5, 0));
@@ -266,13 +158,11 @@
     take_report(engine(e.engine), e.report);
     if (!s || !s->out) return;
     s->out = false;
+    if (proves_unrun(e.as) || s->to_reader) s->ran = false;
     if (Engine* eng = engine(s->engine)) {
       --eng->out;
       if (e.as == EndedAs::ConnectFailed) links_.add(now_, e.elapsed.seconds() * 2), eng->linked_until = now_;
       else if (e.as != EndedAs::Moot) eng->linked_until = now_ + s_.link_idle;
-    }
-    if (proves_unrun(e.as) || s->to_reader) s->ran = false;
-    if (Engine* eng = engine(s->engine)) {
       judge(s->engine, *eng, *f, *s, e);
       eng->awaited.erase({e.inf, e.send});
       free(s->engine, e.inf, true, !s->to_reader);
@@ -306,12 +196,16 @@
       if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
         // A restart under the same id, or a return: nothing learnt before holds any more.
         const auto [read_for, write_for] = std::pair{eng.read_for, eng.write_for};
-        eng = Engine{};
+        eng = Engine{samples_kept, waits_kept};
         eng.read_for = read_for, eng.write_for = write_for;
         eng.turn = std::uniform_real_distribution<double>()(random_), eng.heard = now_;
         eng.cold = entry.started.has_value(), eng.cold_since = entry.started.value_or(Instant{});
       }
       eng.entry = entry, eng.lifecycle = entry.lifecycle;
+      const EngineKind kind = entry.kind < s_.kinds.size() ? s_.kinds[entry.kind] : EngineKind{};
+      eng.stage = kind.stage, eng.memory = kind.memory_tokens > 0 ? kind.memory_tokens : no_memory;
+      eng.itself = kind.stage == Stage::Both || (kind.stage == Stage::Write && s_.writers_read);
+      eng.reads = kind.stage == Stage::Read || eng.itself, eng.writes = kind.stage != Stage::Read;
       eng.rack = racks_.emplace(entry.rack, racks_.size()).first->second;
     }
     if (e.scope == ListScope::Delta) return;
@@ -325,8 +219,7 @@
     for (auto& [id, f] : infs_) look_after(f);
   }
 
-  void on(const ProbeEnded& e) { take_report(engine(e.engine), e.report); }
-
+  void on(const ProbeEnded&) {}
   void on(const PeerSpoke&) {}
 
   // Serves the queues: where a pair is free it is booked, the rest is held before the read.
@@ -343,7 +236,8 @@
       if (!anew && held.size() >= 3) break;
       Inference& f = it->second;
       if (!may_send(f)) give_up_if_idle(f);
-      else if (f.ends - now_ <= needed(f, f.ends < f.target ? 1 : read_weight) + answer_margin) finish(f, true);
+      else if (f.ends - now_ <= needed(f, f.ends < f.target ? 1 : read_weight) + answer_margin)
+        finish(f, true);
       if (f.phase != Phase::Waiting || !may_send(f)) continue;
       if (held.size() < 3 && book(f)) continue;  // a few smaller ones may pass a large one; no more
       held.push_back(&f);
@@ -362,22 +256,17 @@
     const Candidate *reader = nullptr, *writer = nullptr;
     std::vector<Candidate> all;
     for (const bool any : {false, true}) {
-      // Only where a role has nobody else are the doubted ones, and those that failed this one, taken.
-      bool reads = false, writes = false;
-      if (any) std::erase_if(all, [](const Candidate& c) { return !c.reads && !c.writes; });
-      for (const Candidate& c : all) reads |= c.reads, writes |= c.writes;
+      // Only where nobody else is left are the doubted ones, and those that failed this one, taken.
+      all.clear();
+      bool reads = false;
       for (auto& [id, e] : engines_) {
         if (!usable(f, id, e, any)) continue;
-        Candidate c{id, &e, false, false, reads_itself(e), 0, 0, 0, 0, 0};
-        c.reads = !reads && may_read(e) && !reader_full(e, f);
-        c.writes = !writes && may_write(e) && !writer_full(e, f);
-        if (!c.reads && !c.writes) continue;
+        Candidate c{id, &e, e.reads && !reader_full(e, f), e.writes && !writer_full(e, f), 0, 0, 0, 0, 0};
         if (c.reads) c.read = reader_cost(f, e) + way_cost(nullptr, e);
-        if (c.writes) c.write = writer_cost(e) + (c.itself && c.reads ? 0 : way_cost(nullptr, e));
-        all.push_back(c);
+        if (c.writes) c.write = writer_cost(e) + (e.itself && c.reads ? 0 : way_cost(nullptr, e));
+        reads |= c.reads;
+        if (c.reads || c.writes) all.push_back(c);
       }
-      reads = writes = false;
-      for (const Candidate& c : all) reads |= c.reads, writes |= c.writes;
       f.waits_for = reads ? Stage::Write : Stage::Read;
       std::tie(reader, writer) = cheapest(all);
       if (reader || (!any && merely_full(f, !reads))) break;
@@ -407,29 +296,29 @@
     double best = never;
     std::pair<const Candidate*, const Candidate*> pair{};
     for (const Candidate& c : all) {
-      if (!c.reads || (c.itself && !c.writes)) continue;
+      if (!c.reads || (c.engine->itself && !c.writes)) continue;
       auto w = near_[c.engine->rack].first <= least.first ? near_[c.engine->rack] : least;
-      if (c.itself) w = {c.write_now(), &c};
+      if (c.engine->itself) w = {c.write_now(), &c};
       if (const double cost = c.read_now() + w.first; cost < best) best = cost, pair = {&c, w.second};
     }
     return pair;
   }
 
-  // What the other fronts book is unseen: each is taken to score as this one does, with its last few bookings.
-  // So the fleet's load is played here, by siblings of each arrival, booked one after the other. Guards
-  // against all fronts going for the same engine, and gives each rack no more than it can take; with a list
-  // that differs from the others' it is as wrong as the list.
+  // What the other fronts book is unseen: each is taken to score as this one does, with its last few
+  // bookings. So the fleet's load is played here, by siblings of each arrival, booked one after the other.
+  // Guards against all fronts going for the same engine, and gives each rack no more than it can take; with a
+  // list that differs from the others' it is as wrong as the list.
   void book_siblings(const Inference& f) {
     if (s_.fronts < 2) return;
     std::vector<Candidate> all;
     for (auto& [id, e] : engines_) {
       if (e.lifecycle != Lifecycle::Ready || e.doubted) continue;
-      Candidate c{id, &e, may_read(e), may_write(e), reads_itself(e), 0, 0, 0, 0, 0};
-      const double read = slowness(e) * coldness(e) / rate(e.entry.kind) * (stage(e) == Stage::Read ? 1 : 5);
+      Candidate c{id, &e, e.reads, e.writes, 0, 0, 0, 0, 0};
+      const double read = slowness(e) * coldness(e) / rate(e.entry.kind) * (e.stage == Stage::Read ? 1 : 5);
       c.read = f.what.prompt_tokens * read + way_cost(nullptr, e);
       c.write = way_cost(nullptr, e);
       c.read_each = (s_.fronts - 1) * std::max(1.0, reading_.tokens) / siblings_kept * read;
-      c.write_each = (s_.fronts - 1) * std::max(1.0, writing_.tokens) / siblings_kept / memory(e);
+      c.write_each = (s_.fronts - 1) * std::max(1.0, writing_.tokens) / siblings_kept / e.memory;
       c.write_weight = writer_seconds * slowness(e) * coldness(e) / size(e);
       all.push_back(c);
     }
@@ -502,7 +391,7 @@
     std::optional<EngineId> best;
     double least = never;
     for (auto& [id, e] : engines_) {
-      if (!may_write(e) || !usable(f, id, e, any)) continue;
+      if (!e.writes || !usable(f, id, e, any)) continue;
       // A place that nobody answered for while the read ran counts as refused: its engine can't be heard.
       const bool refused = f.place_at == id && !f.place_held.value_or(since_asked < tick);
       const bool keeps = f.writer == id && !refused && !e.doubted;
@@ -542,7 +431,7 @@
       waiting +=
           std::max(0.0, *e.report->inferences_held - static_cast<double>(e.reading.size())) * read_overhead;
     else waiting += others(e, true);
-    const double both = stage(e) == Stage::Read ? 1 : 5;
+    const double both = e.stage == Stage::Read ? 1 : 5;
     return both * (weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e) +
            link_cost(e);
   }
@@ -554,17 +443,14 @@
 
   double size(const Engine& e) const { return s_.sizes_told ? std::max(0.1, e.entry.size) : 1.0; }
   double writer_cost(const Engine& e) {
-    return writer_seconds * crowding(writer_load(e) / memory(e)) / size(e) * slowness(e) * coldness(e) +
+    return writer_seconds * crowding(writer_load(e) / e.memory) / size(e) * slowness(e) * coldness(e) +
            link_cost(e);
   }
 
-  // Booked load by the room it leaves: the first half costs little, the last quarter much.
-  static double crowding(double share) { return share / std::max(0.1, 1.2 - share); }
-
   double writer_load(const Engine& e) const {
     const double own = booked(e.writing);
     if (!tells_memory(e)) return own + others(e, false);
-    return std::max(own, *e.report->memory_share * memory(e) + own - e.booked_at_report);
+    return std::max(own, *e.report->memory_share * e.memory + own - e.booked_at_report);
   }
 
   // A full answer closes the engine to that model route alone, for longer the longer it took to come.
@@ -578,15 +464,12 @@
 
   // Full by a recent answer, by a queue (reported, or seen in a fetch that does not begin) or by memory.
   bool writer_full(const Engine& e, const Inference& f) {
-    for (const auto& [key, at] : e.awaited) {
-      const Send& s = *find(key.first, key.second).second;
-      if (now_ - at > queue_sign && !s.to_reader && !s.far && s.work == 0) return true;
-    }
-    const double wait = quantile(e.waits.since(now_ - wait_life), 0.5, writers_wait_);
-    if (wait > writers_wait_bound * smallest_target_.seconds()) return true;
+    if (e.stage == Stage::Write && e.silence(now_) > queue_sign) return true;
+    if (unseen_wait(e) > writers_wait_bound * smallest_target_.seconds()) return true;
     if (closed(e, f) || (fresh(e) && e.report->waiting.value_or(0) >= 1)) return true;
     if (e.writing.empty() && !tells_memory(e)) return false;
-    return writer_load(e) + f.whole() > (tells_memory(e) ? writer_memory_bound : unseen_memory_bound) * memory(e);
+    const double bound = tells_memory(e) ? writer_memory_bound : unseen_memory_bound;
+    return writer_load(e) + f.whole() > bound * e.memory;
   }
 
   bool overloaded() const {
@@ -596,15 +479,15 @@
 
   // What reads lately took there beyond what this front had booked; where none ended, at any reader.
   double unseen_wait(const Engine& e) const {
-    return quantile(e.waits.since(now_ - wait_life), 0.5, unseen_wait_);
+    return quantile(e.waits.since(now_ - wait_life), 0.5,
+                    e.stage == Stage::Write ? writers_wait_ : unseen_wait_);
   }
   bool reader_full(const Engine& e, const Inference& f) {
-    if (closed(e, f)) return true;
-    if (unseen_wait(e) > smallest_target_.seconds() * reader_wait_bound) return true;
+    if (closed(e, f) || unseen_wait(e) > smallest_target_.seconds() * reader_wait_bound) return true;
     if (e.reading.empty()) return false;
     const double tokens = booked(e.reading) + others(e, true);
-    if (tokens + f.what.prompt_tokens > memory(e)) return true;
-    const double bound = stage(e) == Stage::Read ? reader_wait_bound : mixed_wait_bound;
+    if (tokens + f.what.prompt_tokens > e.memory) return true;
+    const double bound = e.stage == Stage::Read ? reader_wait_bound : mixed_wait_bound;
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * bound;
   }
 
@@ -627,13 +510,8 @@
   }
 
   double known(const Inference& f, const Engine& e) const {
-    double found = 0;
-    for (const auto& [key, most] : {std::pair{f.what.session, f.what.prompt_tokens},
-                                    std::pair{f.what.shared_text, f.what.shared_tokens}})
-      if (const auto it = e.kept.find(key);
-          key != 0 && it != e.kept.end() && it->second.second >= e.kept_since)
-        found = std::max(found, std::min(it->second.first, most));
-    return found;
+    return std::max(e.knows(f.what.session, f.what.prompt_tokens),
+                    e.knows(f.what.shared_text, f.what.shared_tokens));
   }
 
   // By hash: a few readers for each shared text, more the oftener it comes; one of them for each session.
@@ -642,7 +520,7 @@
     if (texts_.size() > texts_seen) texts_.pop_front();
     std::vector<std::pair<std::uint64_t, EngineId>> readers;
     for (const auto& [id, e] : engines_)
-      if (e.lifecycle == Lifecycle::Ready && may_read(e)) readers.emplace_back(hash(a.shared_text, id), id);
+      if (e.lifecycle == Lifecycle::Ready && e.reads) readers.emplace_back(hash(a.shared_text, id), id);
     if (readers.empty() || a.session == 0) return {};
     if (a.shared_text != 0) {
       const auto seen = static_cast<double>(std::count(texts_.begin(), texts_.end(), a.shared_text));
@@ -653,15 +531,6 @@
     for (auto& [h, id] : readers) h = hash(a.session, id);
     return std::max_element(readers.begin(), readers.end())->second;
   }
-  static std::uint64_t hash(std::uint64_t key, const EngineId& id) {
-    for (const std::uint64_t part : std::initializer_list<std::uint64_t>{id.address[0] * 256ULL + id.address[1], id.address[2] * 256ULL + id.address[3],
-                                                                     id.port}) {
-      key = (key ^ part) * 0x9E3779B97F4A7C15ULL;
-      key ^= key >> 29;
-    }
-    return key;
-  }
-
   // A reader keeps what was touched last: once a text proves gone, all touched before it are taken to be gone
   // too. Covers eviction, forgotten texts and restarts that nobody told of.
   void learn(const Inference& f, Engine& e, double found) {
@@ -685,34 +554,34 @@
 
   // Tokens a second that readers of a kind were lately seen to reach where little stood in the way: the
   // median would count the queues of other fronts as slow reading, and hold ever more the longer they get.
-  double rate(std::uint8_t kind) {
-    if (now_ - rates_at_ > worked_out_every) rates_.clear(), medians_.clear(), rates_at_ = now_;
-    if (const auto it = rates_.find(kind); it != rates_.end()) return it->second;
-    std::vector<double> all;
-    for (auto& [id, e] : engines_)
-      if (e.entry.kind == kind) all = e.pace.since(now_ - sample_life, std::move(all));
-    return rates_[kind] = 1.0 / quantile(std::move(all), 0.25, 1.0 / no_rate);
+  double rate(std::uint8_t kind) { return 1.0 / paces(kind).first; }
+
+  struct Paces {
+    double first;
+    std::size_t samples;
+    double median;
+  };
+  const Paces& paces(std::uint8_t kind) {
+    if (now_ - paces_at_ > worked_out_every) paces_.clear(), paces_at_ = now_;
+    if (const auto it = paces_.find(kind); it != paces_.end()) return it->second;
+    std::vector<double> reads, all;
+    for (auto& [id, e] : engines_) {
+      if (e.entry.kind != kind) continue;
+      reads = e.pace.since(now_ - sample_life, std::move(reads));
+      all = (e.stage == Stage::Read ? e.pace : e.first_token).since(now_ - sample_life, std::move(all));
+    }
+    return paces_[kind] = {quantile(std::move(reads), 0.25, 1.0 / no_rate), all.size(),
+                           quantile(all, 0.5, 1)};
   }
 
   // Pace against the peers of its kind; a fleet that is slow as a whole has nobody slow in it.
   double slowness(const Engine& e) {
     if (now_ - e.slow.first <= worked_out_every) return e.slow.second;
-    e.slow = {now_, 1.0};
-    rate(e.entry.kind);
-    const auto samples = stage(e) == Stage::Read ? &Engine::pace : &Engine::first_token;
-    const auto own = (e.*samples).since(now_ - sample_life);
-    if (own.size() < 3) return 1;
-    if (!medians_.contains(e.entry.kind)) {
-      std::vector<double> peers;
-      for (auto& [id, other] : engines_)
-        if (other.entry.kind == e.entry.kind)
-          peers = (other.*samples).since(now_ - sample_life, std::move(peers));
-      const std::size_t n = peers.size();
-      medians_[e.entry.kind] = {n, quantile(std::move(peers), 0.5, 1)};
-    }
-    const auto [n, median] = medians_[e.entry.kind];
-    if (n < 2 * own.size()) return 1;
-    return e.slow.second = std::max(1.0, quantile(own, 0.5, 1) / median);
+    const auto own = (e.stage == Stage::Read ? e.pace : e.first_token).since(now_ - sample_life);
+    const Paces& kind = paces(e.entry.kind);
+    const bool told = own.size() >= 3 && kind.samples >= 2 * own.size();
+    e.slow = {now_, told ? std::max(1.0, quantile(own, 0.5, 1) / kind.median) : 1.0};
+    return e.slow.second;
   }
 
   bool is_cold(const Engine& e) const { return e.cold && now_ - e.cold_since < s_.cold; }
@@ -721,15 +590,16 @@
     return 1.0 / std::max(0.05, s_.cold_from + (1 - s_.cold_from) * ((now_ - e.cold_since) / s_.cold));
   }
 
-  // Rule 4. What all fronts may send a fresh engine in one window is what the engines of its role carry, times
-  // the part of the capacity that is sure, times the multiple, less what chance adds where each front sends
-  // less than one a window. Each front's sends are spaced by its share, and its first waits for its turn.
+  // Rule 4. What all fronts may send a fresh engine in one window is what the engines of its role carry,
+  // times the part of the capacity that is sure, times the multiple, less what chance adds where each front
+  // sends less than one a window. Each front's sends are spaced by its share, and its first waits for its
+  // turn.
   bool may_push(const Engine& e) const {
     if (!is_cold(e)) return true;
-    const bool reads = stage(e) == Stage::Read;
+    const bool reads = e.stage == Stage::Read;
     double peers = 0;
     for (const auto& [id, other] : engines_)
-      peers += other.lifecycle == Lifecycle::Ready && (reads ? may_read(other) : may_write(other));
+      peers += other.lifecycle == Lifecycle::Ready && (reads ? other.reads : other.writes);
     const double window = s_.fall.seconds(), fronts = s_.fronts;
     const double mean = (reads ? reading_ : writing_).a_second * fronts * window / std::max(1.0, peers);
     const double budget = s_.fall_multiple * s_.cold_from * mean, part = cold_share * budget;
@@ -739,19 +609,6 @@
     return since.seconds() >= window * fronts / allowed * (e.sent ? 1 : e.turn);
   }
 
-  Stage stage(const Engine& e) const {
-    return e.entry.kind < s_.kinds.size() ? s_.kinds[e.entry.kind].stage : Stage::Both;
-  }
-  bool reads_itself(const Engine& e) const {
-    return stage(e) == Stage::Both || (stage(e) == Stage::Write && s_.writers_read);
-  }
-  bool may_read(const Engine& e) const { return stage(e) == Stage::Read || reads_itself(e); }
-  bool may_write(const Engine& e) const { return stage(e) != Stage::Read; }
-  double memory(const Engine& e) const {
-    const double told = e.entry.kind < s_.kinds.size() ? s_.kinds[e.entry.kind].memory_tokens : 0;
-    return told > 0 ? told : no_memory;
-  }
-
   bool usable(const Inference& f, const EngineId& id, const Engine& e, bool any) const {
     if (e.lifecycle != Lifecycle::Ready || !effect_allows(f, e) || !may_push(e)) return false;
     return any || (!f.failed_at.contains(id) && (!e.doubted || now_ >= e.next_trial));
@@ -761,7 +618,7 @@
   bool merely_full(const Inference& f, bool read) const {
     for (const auto& [id, e] : engines_)
       if (e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(id))
-        if (read ? may_read(e) : may_write(e)) return true;
+        if (read ? e.reads : e.writes) return true;
     return false;
   }
 
@@ -844,17 +701,10 @@
     f.place_at.reset();
   }
 
-  // Since its last sign, or since the oldest thing still awaited was asked for: an idle engine is not silent.
-  Span silence(const Engine& e) const {
-    Instant oldest = now_;
-    for (const auto& [key, at] : e.awaited) oldest = std::min(oldest, at);
-    return now_ - std::max(oldest, e.last_sign);
-  }
-
   void sign_of_life(const EngineId& id) {
     Engine* e = engine(id);
     if (!e) return;
-    if (!e->awaited.empty()) e->gaps.add(now_, silence(*e).seconds());
+    if (!e->awaited.empty()) e->gaps.add(now_, e->silence(now_).seconds());
     e->last_sign = now_;
     if (e->silent) trust(id, *e);
   }
@@ -883,9 +733,9 @@
       work = std::max(work, s.work);
       far = far && s.far;
     }
-    if (far && silence(e) < smallest_target_) return;
+    if (far && e.silence(now_) < smallest_target_) return;
     const Span usual = patience(e) + Span::from_seconds(work / rate(e.entry.kind));
-    if (silence(e) > usual) doubt(id, e, true, silence(e).as_millis(), usual.as_millis());
+    if (e.silence(now_) > usual) doubt(id, e, true, e.silence(now_).as_millis(), usual.as_millis());
   }
 
   // All fronts together try a doubted engine about once in trial_every; a doubt older than samples live is no
@@ -932,8 +782,7 @@
     const double per_1000 = elapsed.seconds() / std::max(0.5, f.what.prompt_tokens / 1000);
     after_read_.add(now_, elapsed.seconds());
     (s.far ? far_moves_ : near_moves_).add(now_, elapsed.seconds());
-    if (!s.far) e->waits.add(now_, elapsed.seconds());
-    if (!s.far) e->first_token.add(now_, per_1000);
+    if (!s.far) e->waits.add(now_, elapsed.seconds()), e->first_token.add(now_, per_1000);
   }
 
   void take_report(Engine* e, const std::optional<LoadReport>& r) {
@@ -973,7 +822,7 @@
     std::optional<EngineId> best;
     double least = never;
     for (auto& [id, e] : engines_)
-      if (stage(e) == Stage::Read && !e.doubted && usable(f, id, e, false))
+      if (e.stage == Stage::Read && !e.doubted && usable(f, id, e, false))
         if (const double cost = reader_cost(f, e); cost < least) best = id, least = cost;
     if (!best) return;
     engines_[*best].reading[f.what.inf] = {std::max(1.0, to_read(f, engines_[*best])), now_};
@@ -985,7 +834,7 @@
   double least_at_readers(auto measure) const {
     double least = never;
     for (const auto& [id, e] : engines_)
-      if (e.lifecycle == Lifecycle::Ready && !e.doubted && may_read(e)) least = std::min(least, measure(e));
+      if (e.lifecycle == Lifecycle::Ready && !e.doubted && e.reads) least = std::min(least, measure(e));
     return least;
   }
 
@@ -1036,44 +885,36 @@
   void tell_holding(bool held) {
     if (std::exchange(holding_, held) == held || (told_at_ && now_ - *told_at_ < Span::millis(2000))) return;
     told_at_ = now_;
-    double load = 0, backlog = 0;
-    for (const auto& [id, e] : engines_)
-      if (may_write(e)) load = std::max(load, writer_load(e) / memory(e));
-      else backlog = std::max(backlog, booked(e.reading) / rate(e.entry.kind));
-    say(holding_ ? "holding on: fullest writer %.2f, longest read %.2f s"
-                 : "holding off: fullest writer %.2f, longest read %.2f s",
-        load, backlog);
+    say(holding_ ? "holding on: reads wait %.2f s, first tokens after them %.2f s"
+                 : "holding off: reads wait %.2f s, first tokens after them %.2f s",
+        unseen_wait_, writers_wait_);
   }
 
   void say(const char* what, double a, double b, const EngineId* id = nullptr) {
     char text[128];
     std::snprintf(text, sizeof text, what, a, b);
-    std::string who;
-    if (id)
-      for (int part : id->address) who += std::to_string(part) + '.';
-    if (id) who.back() = ':', who += std::to_string(id->port) + ' ';
-    out_.push_back(Log{who + text});
+    out_.push_back(Log{(id ? text_of(*id) + ' ' : "") + text});
   }
 
   const Settings s_;
   std::mt19937 random_;
   Span smallest_target_;
-  Instant now_, rates_at_;
+  Instant now_, paces_at_;
   std::optional<Instant> begun_at_, told_at_, asked_at_;
   bool timer_set_ = false, asked_ = false, holding_ = false;
   std::map<EngineId, Engine> engines_;
   std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
-  double writers_wait_ = 0;  // what first tokens lately took after the read, within a rack
-  double unseen_wait_ = 0;  // what reads lately took beyond what this front had booked there
-  double far_extra_ = 0;    // what moves to another rack lately took longer than those within one
+  double writers_wait_ = 0;      // what first tokens lately took after the read, within a rack
+  double unseen_wait_ = 0;       // what reads lately took beyond what this front had booked there
+  double far_extra_ = 0;         // what moves to another rack lately took longer than those within one
   double link_cost_ = 0;
-  LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_, homes_{bookings_kept};
+  LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_{samples_kept},
+      homes_{bookings_kept};
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
-  double home_found_ = 0.5;  // of a prompt beyond its shared text, what its home was lately seen to keep
-  std::map<std::uint8_t, double> rates_;
-  std::map<std::uint8_t, std::pair<std::size_t, double>> medians_;  // of the kind's samples, and how many
-  Flow reading_, writing_;
+  double home_found_ = 0.5;    // of a prompt beyond its shared text, what its home was lately seen to keep
+  std::map<std::uint8_t, Paces> paces_;
+  Flow reading_{bookings_kept}, writing_{bookings_kept};
   std::deque<std::pair<EngineId, EngineId>> siblings_;
   std::map<std::uint16_t, std::size_t> racks_;
   std::vector<std::pair<double, const Candidate*>> near_;
