--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -69,10 +69,11 @@
 
 }  // namespace
 
-class Router::Desk {
+class Router::Desk : private State {
  public:
   Desk(std::uint64_t seed, const Settings& settings)
-      : s_(settings),
+      : State(bookings_kept),
+        s_(settings),
         random_(static_cast<std::uint32_t>(seed)),
         served_(settings.routes.size(), LastFew{samples_kept}) {
     smallest_target_ = s_.routes.empty() ? Span::millis(1000) : s_.routes[0].first_token_target;
@@ -202,10 +203,8 @@
         eng.cold = entry.started.has_value(), eng.cold_since = entry.started.value_or(Instant{});
       }
       eng.entry = entry, eng.lifecycle = entry.lifecycle;
-      const EngineKind kind = entry.kind < s_.kinds.size() ? s_.kinds[entry.kind] : EngineKind{};
-      eng.stage = kind.stage, eng.memory = kind.memory_tokens > 0 ? kind.memory_tokens : no_memory;
-      eng.itself = kind.stage == Stage::Both || (kind.stage == Stage::Write && s_.writers_read);
-      eng.reads = kind.stage == Stage::Read || eng.itself, eng.writes = kind.stage != Stage::Read;
+      eng.is_of(entry.kind < s_.kinds.size() ? s_.kinds[entry.kind] : EngineKind{}, s_.writers_read,
+                no_memory);
       eng.rack = racks_.emplace(entry.rack, racks_.size()).first->second;
     }
     if (e.scope == ListScope::Delta) return;
@@ -273,8 +272,7 @@
     }
     if (!reader) return false;
     const bool own = reader == writer;
-    reader->engine->reading[f.what.inf] = {std::max(1.0, to_read(f, *reader->engine)), now_};
-    reading_.made.add(now_, 1);
+    book_reader(f, reader->id, to_read(f, *reader->engine));
     book_writer(f, writer->id);
     f.phase = own ? Phase::Answering : Phase::Reading;
     send(f, reader->id, !own);
@@ -345,25 +343,6 @@
     return (s_.fronts - 1) * std::max(1.0, (reads ? reading_ : writing_).tokens) * part;
   }
 
-  void book_writer(Inference& f, const EngineId& id) {
-    if (f.writer && f.writer != id) free(*f.writer, f.what.inf, false, true);
-    if (engines_[id].writing.insert_or_assign(f.what.inf, std::pair{f.whole(), now_}).second)
-      writing_.made.add(now_, 1);
-    f.writer = id;
-  }
-
-  void free(const EngineId& id, InfId inf, bool read, bool write) {
-    Engine* e = engine(id);
-    const auto from = [&](Ledger& ledger, Flow& flow) {
-      const auto it = ledger.find(inf);
-      if (it == ledger.end()) return;
-      flow.freed.add(now_, it->second.first * (now_ - it->second.second).seconds());
-      ledger.erase(it);
-    };
-    if (e && read) from(e->reading, reading_);
-    if (e && write) from(e->writing, writing_);
-  }
-
   void hold_place(Inference& f) {
     f.place_at = f.writer, f.place_held.reset(), ++f.places;
     f.place_asked = now_, f.place_opens = !linked(engines_[*f.writer]);
@@ -537,8 +516,7 @@
     if (f.home == e.entry.engine) {
       const double beyond = f.what.prompt_tokens - f.what.shared_tokens;
       homes_.add(now_, std::clamp((found - f.what.shared_tokens) / std::max(1.0, beyond), 0.0, 1.0));
-      const auto all = homes_.since(now_ - flow_window);
-      home_found_ = sum(all) / static_cast<double>(all.size());
+      home_found_ = mean(homes_.since(now_ - flow_window));
     }
     if (found < known(f, e) / 2) {
       Instant oldest = now_;
@@ -693,14 +671,6 @@
     ended_.push_back(f.what.inf);
   }
 
-  void unbook(Inference& f) {
-    for (const auto& s : f.sends) free(s.engine, f.what.inf, true, true);
-    if (f.writer) free(*f.writer, f.what.inf, true, true);
-    f.writer.reset();
-    f.state_at.reset();
-    f.place_at.reset();
-  }
-
   void sign_of_life(const EngineId& id) {
     Engine* e = engine(id);
     if (!e) return;
@@ -716,11 +686,9 @@
       for (const auto& [id, other] : engines_)
         if (other.entry.kind == e.entry.kind) gaps = other.gaps.since(Instant{}, std::move(gaps));
     if (gaps.size() < 4) return smallest_target_ * 0.5;
-    const auto n = static_cast<double>(gaps.size());
-    const double mean = sum(gaps) / n, most = *std::max_element(gaps.begin(), gaps.end());
-    double square = 0;
-    for (double g : gaps) square += (g - mean) * (g - mean) / n;
-    return Span::from_seconds(std::max(most * 3, mean + silence_deviations * std::sqrt(square)) + 0.2);
+    const double most = *std::max_element(gaps.begin(), gaps.end()), usual = mean(gaps);
+    const double unusual = usual + silence_deviations * deviation(gaps);
+    return Span::from_seconds(std::max(most * 3, unusual) + 0.2);
   }
 
   void watch(const EngineId& id, Engine& e) {
@@ -825,7 +793,7 @@
       if (e.stage == Stage::Read && !e.doubted && usable(f, id, e, false))
         if (const double cost = reader_cost(f, e); cost < least) best = id, least = cost;
     if (!best) return;
-    engines_[*best].reading[f.what.inf] = {std::max(1.0, to_read(f, engines_[*best])), now_};
+    book_reader(f, *best, to_read(f, engines_[*best]));
     send(f, *best, true);
   }
 
@@ -862,26 +830,12 @@
     return worth * (f.what.prompt_tokens + answer_work * f.answer_tokens) / std::max(1.0, cost);
   }
 
-  double share_served(std::size_t k) const {
-    const auto all = served_[k].since(now_ - sample_life);
-    return all.empty() ? 1.0 : sum(all) / static_cast<double>(all.size());
-  }
+  double share_served(std::size_t k) const { return mean(served_[k].since(now_ - sample_life), 1.0); }
   void count_served(const Inference& f, bool in_time) { served_[index(f.what)].add(now_, in_time ? 1 : 0); }
 
   std::size_t index(const Arrived& a) const { return std::min<std::size_t>(a.route, s_.routes.size() - 1); }
   const ModelRoute& route(const Arrived& a) const { return s_.routes[index(a)]; }
 
-  Engine* engine(const EngineId& id) {
-    const auto it = engines_.find(id);
-    return it == engines_.end() ? nullptr : &it->second;
-  }
-
-  std::pair<Inference*, Send*> find(InfId inf, std::size_t k) {
-    const auto it = infs_.find(inf);
-    const bool known = it != infs_.end() && k < it->second.sends.size();
-    return known ? std::pair{&it->second, &it->second.sends[k]} : std::pair<Inference*, Send*>{};
-  }
-
   void tell_holding(bool held) {
     if (std::exchange(holding_, held) == held || (told_at_ && now_ - *told_at_ < Span::millis(2000))) return;
     told_at_ = now_;
@@ -899,11 +853,9 @@
   const Settings s_;
   std::mt19937 random_;
   Span smallest_target_;
-  Instant now_, paces_at_;
+  Instant paces_at_;
   std::optional<Instant> begun_at_, told_at_, asked_at_;
   bool timer_set_ = false, asked_ = false, holding_ = false;
-  std::map<EngineId, Engine> engines_;
-  std::map<InfId, Inference> infs_;
   std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
   double writers_wait_ = 0;      // what first tokens lately took after the read, within a rack
   double unseen_wait_ = 0;       // what reads lately took beyond what this front had booked there
@@ -914,7 +866,6 @@
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
   double home_found_ = 0.5;    // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, Paces> paces_;
-  Flow reading_{bookings_kept}, writing_{bookings_kept};
   std::deque<std::pair<EngineId, EngineId>> siblings_;
   std::map<std::uint16_t, std::size_t> racks_;
   std::vector<std::pair<double, const Candidate*>> near_;
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -3,6 +3,7 @@
 // What the decisions remember of sends and inferences, and how samples are kept. Nothing is decided here.
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -25,6 +26,14 @@
   return *at;
 }
 inline double sum(const std::vector<double>& v) { return std::accumulate(v.begin(), v.end(), 0.0); }
+inline double mean(const std::vector<double>& v, double absent = 0) {
+  return v.empty() ? absent : sum(v) / static_cast<double>(v.size());
+}
+inline double deviation(std::vector<double> v) {
+  const double m = mean(v);
+  for (double& x : v) x = (x - m) * (x - m);
+  return std::sqrt(mean(v));
+}
 
 // The last few samples themselves; figures are worked out when asked for.
 class LastFew {
@@ -93,6 +102,11 @@
   double booked_at_report = 0;
   mutable std::pair<Instant, double> slow;  // slowness, as worked out at that time
 
+  void is_of(const EngineKind& kind, bool writers_read, double memory_if_not_told) {
+    stage = kind.stage, memory = kind.memory_tokens > 0 ? kind.memory_tokens : memory_if_not_told;
+    itself = stage == Stage::Both || (stage == Stage::Write && writers_read);
+    reads = stage == Stage::Read || itself, writes = stage != Stage::Read;
+  }
   // Since its last sign, or since the oldest thing still awaited was asked for: an idle engine is not silent.
   Span silence(Instant now) const {
     Instant oldest = now;
@@ -141,6 +155,57 @@
   }
 };
 
+// The engines and inferences at hand, and what is booked in the two ledgers.
+struct State {
+  explicit State(std::size_t bookings_kept) : reading_(bookings_kept), writing_(bookings_kept) {}
+  Instant now_;
+  std::map<EngineId, Engine> engines_;
+  std::map<InfId, Inference> infs_;
+  Flow reading_, writing_;
+
+  Engine* engine(const EngineId& id) {
+    const auto it = engines_.find(id);
+    return it == engines_.end() ? nullptr : &it->second;
+  }
+
+  std::pair<Inference*, Send*> find(InfId inf, std::size_t k) {
+    const auto it = infs_.find(inf);
+    const bool known = it != infs_.end() && k < it->second.sends.size();
+    return known ? std::pair{&it->second, &it->second.sends[k]} : std::pair<Inference*, Send*>{};
+  }
+
+  void book_reader(Inference& f, const EngineId& id, double tokens) {
+    engines_[id].reading[f.what.inf] = {std::max(1.0, tokens), now_};
+    reading_.made.add(now_, 1);
+  }
+  void book_writer(Inference& f, const EngineId& id) {
+    if (f.writer && f.writer != id) free(*f.writer, f.what.inf, false, true);
+    if (engines_[id].writing.insert_or_assign(f.what.inf, std::pair{f.whole(), now_}).second)
+      writing_.made.add(now_, 1);
+    f.writer = id;
+  }
+
+  void free(const EngineId& id, InfId inf, bool read, bool write) {
+    Engine* e = engine(id);
+    const auto from = [&](Ledger& ledger, Flow& flow) {
+      const auto it = ledger.find(inf);
+      if (it == ledger.end()) return;
+      flow.freed.add(now_, it->second.first * (now_ - it->second.second).seconds());
+      ledger.erase(it);
+    };
+    if (e && read) from(e->reading, reading_);
+    if (e && write) from(e->writing, writing_);
+  }
+
+  void unbook(Inference& f) {
+    for (const auto& s : f.sends) free(s.engine, f.what.inf, true, true);
+    if (f.writer) free(*f.writer, f.what.inf, true, true);
+    f.writer.reset();
+    f.state_at.reset();
+    f.place_at.reset();
+  }
+};
+
 // The same at every front: mixes a text's key with an engine's id.
 inline std::uint64_t hash(std::uint64_t key, const EngineId& id) {
   const std::uint64_t parts[] = {id.address[0] * 256ULL + id.address[1],
