--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -72,10 +72,7 @@
 class Router::Desk : private State {
  public:
   Desk(std::uint64_t seed, const Settings& settings)
-      : State(bookings_kept),
-        s_(settings),
-        random_(static_cast<std::uint32_t>(seed)),
-        served_(settings.routes.size(), LastFew{samples_kept}) {
+      : State(bookings_kept), s_(settings), random_(static_cast<std::uint32_t>(seed)) {
     smallest_target_ = s_.routes.empty() ? Span::millis(1000) : s_.routes[0].first_token_target;
     for (const auto& r : s_.routes) smallest_target_ = std::min(smallest_target_, r.first_token_target);
   }
@@ -131,7 +128,6 @@
     s->started = true;
     if (f->phase == Phase::Over) return;
     note_first_token(*f, *s, e.elapsed);
-    count_served(*f, now_ <= f->target);
     f->phase = Phase::Streaming;
     for (auto& other : f->sends)
       if (&other != s) cancel(*f, other);
@@ -663,7 +659,6 @@
   }
 
   void over(Inference& f) {
-    if (f.phase != Phase::Streaming) count_served(f, false);
     f.phase = Phase::Over;
     unbook(f);
     for (auto& s : f.sends) cancel(f, s);
@@ -819,10 +814,6 @@
   // lost engines and lost texts alike; in long overload it could starve sessions that nobody keeps.
   double urgency(const Inference& f) {
     double worth = s_.whole_weight * route(f.what).value;
-    std::size_t worst = index(f.what);
-    for (std::size_t k = 0; k < served_.size(); ++k)
-      if (share_served(k) < share_served(worst) - 0.02) worst = k;
-    if (served_.size() > 1 && worst == index(f.what)) worth += s_.worst_route_weight * 2;
     if (now_ + needed(f) > f.target) worth *= route(f.what).late_value;
     if (f.what.resumed) worth *= 2;
     double cost = std::min(least_at_readers([&](const Engine& e) { return to_read(f, e); }), f.whole());
@@ -830,9 +821,6 @@
     return worth * (f.what.prompt_tokens + answer_work * f.answer_tokens) / std::max(1.0, cost);
   }
 
-  double share_served(std::size_t k) const { return mean(served_[k].since(now_ - sample_life), 1.0); }
-  void count_served(const Inference& f, bool in_time) { served_[index(f.what)].add(now_, in_time ? 1 : 0); }
-
   std::size_t index(const Arrived& a) const { return std::min<std::size_t>(a.route, s_.routes.size() - 1); }
   const ModelRoute& route(const Arrived& a) const { return s_.routes[index(a)]; }
 
@@ -856,10 +844,9 @@
   Instant paces_at_;
   std::optional<Instant> begun_at_, told_at_, asked_at_;
   bool timer_set_ = false, asked_ = false, holding_ = false;
-  std::vector<LastFew> served_;  // by model route: 1 in time, 0 not
-  double writers_wait_ = 0;      // what first tokens lately took after the read, within a rack
-  double unseen_wait_ = 0;       // what reads lately took beyond what this front had booked there
-  double far_extra_ = 0;         // what moves to another rack lately took longer than those within one
+  double writers_wait_ = 0;  // what first tokens lately took after the read, within a rack
+  double unseen_wait_ = 0;   // what reads lately took beyond what this front had booked there
+  double far_extra_ = 0;     // what moves to another rack lately took longer than those within one
   double link_cost_ = 0;
   LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_{samples_kept},
       homes_{bookings_kept};
