--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -56,11 +56,9 @@
   int fronts = 1;
   std::uint8_t zone = 0;
   bool may_cancel = false;
-  bool may_probe = false;
   bool may_hold_places = false;
   bool second_copies = false;
   bool retry_advice = false;
-  bool streams_resume = false;
   bool writers_read = false;
   bool list_must_be_asked = false;
   bool sizes_told = false;  // weights in the list compare engines of a role
@@ -75,18 +73,12 @@
   Span link_idle;
   double far_price = 0;
   double zone_price = 0;
-  double whole_weight = 1;
-  double worst_route_weight = 0;
 };
 
 // What happened.
 struct LoadReport {
   std::optional<double> inferences_held;
   std::optional<double> waiting;
-  std::optional<double> slots_busy;
-  std::optional<double> service_ms;
-  std::optional<double> completed_per_s;
-  std::optional<double> failed_per_s;
   std::optional<double> memory_share;
   std::optional<double> tokens_waiting;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -4,12 +4,12 @@
 // The ordinary path is the design of docs/design.md: reader and writer scored together at arrival, a ledger
 // per role, an ageing table of kept texts per reader, commit or undo of the pair, a queue per role before
 // the read. Beside it stand these mechanisms, and no others:
-//   1. doubt     an engine unusually silent, or failing, gets single trials only until it answers again
-//   2. rescue    what a doubted engine has not begun goes to another one, as its model route allows
-//   3. slowness  an engine costs more by its pace against its peers, a rack's link by what moves lately took
-//   4. cold      a fresh engine counts dearer, and its sends are spaced by what its warm peers are sent
-//   5. places    a place is held ahead at the booked writer; the answer tells whether it is full
-//   6. order     queues go by worth per work of the scarce role; the late make way while others wait
+//   1. siblings  the other fronts' bookings are played by the same scoring; texts have homes all agree on
+//   2. waits     what reads and first tokens lately took, and places refused, make engines count as full
+//   3. doubt     an engine unusually silent, or failing, is tried rarely; what it has not begun moves on
+//   4. ways      slow engines, moves to other racks and new connections cost what they lately took longer
+//   5. cold      a fresh engine counts dearer, and all fronts' sends to it are spaced below its budget
+//   6. order     queues go by worth per work of the scarce role; the late are told at once
 #include "routing/router.hpp"
 
 #include <cmath>
@@ -24,32 +24,28 @@
 
 constexpr Span tick = Span::millis(20);
 constexpr Span answer_margin = Span::millis(30);  // the final answer comes this long before the client leaves
+constexpr Span worked_out_every = Span::millis(50);  // paces and rates
+constexpr Span queue_sign = Span::millis(150);       // a fetch not begun for so long waits in a queue
+constexpr Span full_memory = Span::millis(250);      // how long a full answer counts as recent, at least
+constexpr Span trial_every = Span::millis(1000);     // of a doubted engine, by all fronts together
+constexpr Span wait_life = Span::millis(3000), report_life = Span::millis(3000);
 constexpr Span sample_life = Span::millis(12000);  // older samples no longer speak for an engine
-constexpr Span full_memory = Span::millis(250);    // how long a full answer counts as recent
-constexpr Span trial_every = Span::millis(1000);
-constexpr Span wait_life = Span::millis(3000);
 constexpr Span flow_window = Span::millis(30000);
-constexpr Span worked_out_every = Span::millis(50);  // paces and rates
-constexpr std::size_t texts_seen = 32;
-constexpr double homes_a_text = 1.5;  // times the readers that its share of the arrivals would fill
-constexpr int places_asked = 10;
-constexpr double close_for = 40;  // times what a full answer took: asking again costs as much again
-constexpr Span report_life = Span::millis(3000);
 constexpr std::size_t samples_kept = 16, waits_kept = 5, bookings_kept = 24, texts_kept = 16384;
 constexpr std::size_t siblings_kept = 1024, siblings_each = 64;  // in all, and booked anew at each arrival
-constexpr Span queue_sign = Span::millis(150);  // a fetch not begun for so long waits in a queue
-constexpr double read_weight = 5;               // of prompt tokens still to read, against tokens booked
-constexpr double writer_memory_bound = 0.9;     // where a report tells of it
-constexpr double unseen_memory_bound = 1.0;     // of own load and the others' by its mean
-constexpr double writers_wait_bound = 0.25;
-constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25;  // of the smallest first-token target
-constexpr double writer_seconds = 1.0, far_seconds = 2.0;  // full writer memory, and prices, in read seconds
+constexpr std::size_t texts_seen = 32;
+constexpr int places_asked = 10;
+constexpr double homes_a_text = 1.5;  // times the readers that its share of the arrivals would fill
+constexpr double close_for = 40;      // times what a full answer took: asking again costs as much again
+constexpr double read_weight = 5, mixed_weight = 5;  // of tokens still to read; of reads beside answers
+constexpr double writer_memory_bound = 0.9, unseen_memory_bound = 1.0;  // where a report tells of it; else
+constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25, writer_wait_bound = 0.25;  // of a target
+constexpr double writer_seconds = 1.0, far_seconds = 2.0;  // half a writer's memory, and prices, as reading
 constexpr double cold_share = 0.7, cold_surely = 0.2, cold_least = 0.3;  // of the budget; sends a window
-constexpr double silence_deviations = 6.0;
-constexpr double failing_share = 0.25, needed_margin = 1.5;  // the latter: what seems just in time is late
-constexpr double read_overhead = 500;                        // a read's fixed part, in tokens
-constexpr double answer_work = 8;                            // work of an answered token, in tokens read
-constexpr double no_rate = 10000, no_memory = 200000;  // tokens a second until a read was seen; if not told
+constexpr double silence_deviations = 6.0, failing_share = 0.25;
+constexpr double needed_margin = 1.5;                   // what seems just in time is late
+constexpr double read_overhead = 500, answer_work = 8;  // of a read; of a token answered: in tokens read
+constexpr double no_rate = 10000, no_memory = 200000;   // until a read was seen; if not told
 constexpr double never = std::numeric_limits<double>::infinity();
 
 // Booked load by the room it leaves: the first half costs little, the last quarter much.
@@ -90,16 +86,11 @@
         (!asked_at_ || now_ - *asked_at_ > (asked_ ? s_.ask_within * 0.5 : trial_every)))
       asked_ = true, asked_at_ = now_, out_.push_back(Subscribe{true});
     std::visit([this](const auto& e) { on(e); }, event);
-    // While some wait, an arrival joins them; only what may have freed a place serves the queues again, in
-    // the order of the last timer, so that a long queue costs little for each event.
+    // While some wait, an arrival joins them; what may have freed a place serves them in the last order.
     const bool anew = !holding_ || std::holds_alternative<TimerFired>(event);
     if (anew || !std::holds_alternative<Arrived>(event)) admit(anew);
-    for (InfId id : std::exchange(ended_, {}))
-      if (const auto it = infs_.find(id); it != infs_.end() && !it->second.any_out()) infs_.erase(it);
-    const bool pending = std::any_of(infs_.begin(), infs_.end(), [](const auto& i) {
-      return i.second.phase != Phase::Streaming && i.second.phase != Phase::Over;
-    });
-    if (!timer_set_ && (pending || s_.list_must_be_asked))
+    forget_ended();
+    if (!timer_set_ && (pending() || s_.list_must_be_asked))
       timer_set_ = true, out_.push_back(SetTimer{tick, 0});
     return std::exchange(out_, {});
   }
@@ -142,9 +133,8 @@
     if (f.place_opens) links_.add(now_, (now_ - f.place_asked).seconds());
     f.place_held = e.held;  // the answer rides on the read; it names the reader, not the place
     sign_of_life(*f.place_at);
-    Engine* eng = engine(*f.place_at);
-    if (e.held || !eng) return;
-    close(*eng, f, full_memory);
+    if (e.held) return;
+    close(engines_[*f.place_at], f, full_memory);
     if (f.phase != Phase::Reading || f.places >= places_asked) return;
     const auto next = next_writer(f, engine(f.sends.back().engine), tick, false);
     if (next) book_writer(f, *next), hold_place(f);
@@ -152,7 +142,7 @@
 
   void on(const SendEnded& e) {
     auto [f, s] = find(e.inf, e.send);
-    take_report(engine(e.engine), e.report);
+    take_report(e.engine, e.report);
     if (!s || !s->out) return;
     s->out = false;
     if (proves_unrun(e.as) || s->to_reader) s->ran = false;
@@ -166,8 +156,7 @@
     }
     if (e.inference_over && f->phase != Phase::Over) over(*f);
     if (f->phase == Phase::Over) {
-      // Rule 5: what a send still waited for is not let go with its inference, only after the send. Covers
-      // reads that outlive their inference, cancels that cross an outcome, writers failing before the fetch.
+      // Rule 5: what a send still waited for is not let go with its inference, only after the send.
       out_.push_back(LetGo{e.inf});
       return ended_.push_back(e.inf);
     }
@@ -189,16 +178,9 @@
     asked_at_ = now_;
     std::set<EngineId> named;
     for (const auto& entry : e.entries) {
-      Engine& eng = engines_[*named.insert(entry.engine).first];
-      if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
-        // A restart under the same id, or a return: nothing learnt before holds any more.
-        const auto [read_for, write_for] = std::pair{eng.read_for, eng.write_for};
-        eng = Engine{samples_kept, waits_kept};
-        eng.read_for = read_for, eng.write_for = write_for;
-        eng.turn = std::uniform_real_distribution<double>()(random_), eng.heard = now_;
-        eng.cold = entry.started.has_value(), eng.cold_since = entry.started.value_or(Instant{});
-      }
-      eng.entry = entry, eng.lifecycle = entry.lifecycle;
+      named.insert(entry.engine);
+      const double turn = std::uniform_real_distribution<double>()(random_);
+      Engine& eng = enlist(entry, Engine{samples_kept, waits_kept}, turn);
       eng.is_of(entry.kind < s_.kinds.size() ? s_.kinds[entry.kind] : EngineKind{}, s_.writers_read,
                 no_memory);
       eng.rack = racks_.emplace(entry.rack, racks_.size()).first->second;
@@ -214,8 +196,7 @@
     for (auto& [id, f] : infs_) look_after(f);
   }
 
-  void on(const ProbeEnded&) {}
-  void on(const PeerSpoke&) {}
+  void on(const auto&) {}
 
   // Serves the queues: where a pair is free it is booked, the rest is held before the read.
   void admit(bool anew) {
@@ -276,7 +257,6 @@
     return true;
   }
 
-  // The pair of the lowest cost, the way between them included.
   std::pair<const Candidate*, const Candidate*> cheapest(const std::vector<Candidate>& all) {
     near_.assign(racks_.size(), {never, nullptr});
     std::pair<double, const Candidate*> least{never, nullptr};
@@ -298,17 +278,17 @@
     return pair;
   }
 
-  // What the other fronts book is unseen: each is taken to score as this one does, with its last few
-  // bookings. So the fleet's load is played here, by siblings of each arrival, booked one after the other.
-  // Guards against all fronts going for the same engine, and gives each rack no more than it can take; with a
-  // list that differs from the others' it is as wrong as the list.
+  // What other fronts book is unseen: each is taken to score as this one does, with its last few bookings; so
+  // siblings of each arrival are booked here. Guards against all going for the same engine, and gives each
+  // rack what it can take; with a list that differs from the others' it is as wrong as the list.
   void book_siblings(const Inference& f) {
     if (s_.fronts < 2) return;
     std::vector<Candidate> all;
     for (auto& [id, e] : engines_) {
       if (e.lifecycle != Lifecycle::Ready || e.doubted) continue;
       Candidate c{id, &e, e.reads, e.writes, 0, 0, 0, 0, 0};
-      const double read = slowness(e) * coldness(e) / rate(e.entry.kind) * (e.stage == Stage::Read ? 1 : 5);
+      const double read =
+          slowness(e) * coldness(e) / rate(e.entry.kind) * (e.stage == Stage::Read ? 1 : mixed_weight);
       c.read = f.what.prompt_tokens * read + way_cost(nullptr, e);
       c.write = way_cost(nullptr, e);
       c.read_each = (s_.fronts - 1) * std::max(1.0, reading_.tokens) / siblings_kept * read;
@@ -316,9 +296,8 @@
       c.write_weight = writer_seconds * slowness(e) * coldness(e) / size(e);
       all.push_back(c);
     }
-    const auto more = siblings_each / 2 + random_() % siblings_each;
-    if (all.empty()) return;
-    for (auto k = siblings_.empty() ? siblings_kept : more; k > 0; --k) {
+    const auto more = siblings_.empty() ? siblings_kept : siblings_each / 2 + random_() % siblings_each;
+    for (auto k = all.empty() ? 0 : more; k > 0; --k) {
       Candidate& home = all[random_() % all.size()];
       const double saved = found_at_home(f) / rate(home.engine->entry.kind);
       home.read -= saved;
@@ -363,17 +342,21 @@
   }
 
   std::optional<EngineId> next_writer(const Inference& f, const Engine* from, Span since_asked, bool any) {
-    std::optional<EngineId> best;
-    double least = never;
-    for (auto& [id, e] : engines_) {
-      if (!e.writes || !usable(f, id, e, any)) continue;
-      // A place that nobody answered for while the read ran counts as refused: its engine can't be heard.
+    const auto measure = [&](const EngineId& id, const Engine& e) {
+      if (!e.writes || !usable(f, id, e, any)) return never;
+      // A place that nobody answered for while the read ran counts as refused: nobody hears there.
       const bool refused = f.place_at == id && !f.place_held.value_or(since_asked < tick);
       const bool keeps = f.writer == id && !refused && !e.doubted;
-      if (!any && !keeps && (refused || writer_full(e, f))) continue;
-      const double cost = keeps ? -1 : writer_cost(e) + way_cost(from, e);
-      if (cost < least) best = id, least = cost;
-    }
+      if (!any && !keeps && (refused || writer_full(e, f))) return never;
+      return keeps ? -1 : writer_cost(e) + way_cost(from, e);
+    };
+    return lowest(measure).second;
+  }
+
+  std::pair<double, std::optional<EngineId>> lowest(auto measure) {
+    std::pair<double, std::optional<EngineId>> best{never, {}};
+    for (const auto& [id, e] : engines_)
+      if (const double cost = measure(id, e); cost < best.first) best = {cost, id};
     return best;
   }
 
@@ -406,7 +389,7 @@
       waiting +=
           std::max(0.0, *e.report->inferences_held - static_cast<double>(e.reading.size())) * read_overhead;
     else waiting += others(e, true);
-    const double both = e.stage == Stage::Read ? 1 : 5;
+    const double both = e.stage == Stage::Read ? 1 : mixed_weight;
     return both * (weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e) +
            link_cost(e);
   }
@@ -440,7 +423,7 @@
   // Full by a recent answer, by a queue (reported, or seen in a fetch that does not begin) or by memory.
   bool writer_full(const Engine& e, const Inference& f) {
     if (e.stage == Stage::Write && e.silence(now_) > queue_sign) return true;
-    if (unseen_wait(e) > writers_wait_bound * smallest_target_.seconds()) return true;
+    if (unseen_wait(e) > writer_wait_bound * smallest_target_.seconds()) return true;
     if (closed(e, f) || (fresh(e) && e.report->waiting.value_or(0) >= 1)) return true;
     if (e.writing.empty() && !tells_memory(e)) return false;
     const double bound = tells_memory(e) ? writer_memory_bound : unseen_memory_bound;
@@ -448,8 +431,8 @@
   }
 
   bool overloaded() const {
-    return unseen_wait_ > reader_wait_bound * smallest_target_.seconds() ||
-           writers_wait_ > writers_wait_bound * smallest_target_.seconds();
+    const double target = smallest_target_.seconds();
+    return unseen_wait_ > reader_wait_bound * target || writers_wait_ > writer_wait_bound * target;
   }
 
   // What reads lately took there beyond what this front had booked; where none ended, at any reader.
@@ -466,11 +449,10 @@
     return tokens / rate(e.entry.kind) * slowness(e) > smallest_target_.seconds() * bound;
   }
 
-  // The price of a send to another zone and, if a state moves, of a move to another rack.
   double way_cost(const Engine* from, const Engine& to) const {
     const bool far = from && from->entry.rack != to.entry.rack;
-    const double zone = to.entry.zone != s_.zone ? far_seconds * s_.zone_price : 0.0;
-    return zone + (far ? far_seconds * s_.far_price + far_extra_ : 0.0);
+    return (to.entry.zone != s_.zone ? far_seconds * s_.zone_price : 0) +
+           (far ? far_seconds * s_.far_price + far_extra_ : 0);
   }
 
   // What of the prompt this reader should not have kept. A session's turns come in through many fronts: they
@@ -506,8 +488,7 @@
     for (auto& [h, id] : readers) h = hash(a.session, id);
     return std::max_element(readers.begin(), readers.end())->second;
   }
-  // A reader keeps what was touched last: once a text proves gone, all touched before it are taken to be gone
-  // too. Covers eviction, forgotten texts and restarts that nobody told of.
+  // Once a text proves gone, all touched before it are too. Covers eviction, forgotten texts and restarts.
   void learn(const Inference& f, Engine& e, double found) {
     if (f.home == e.entry.engine) {
       const double beyond = f.what.prompt_tokens - f.what.shared_tokens;
@@ -521,13 +502,12 @@
           oldest = std::min(oldest, it->second.second);
       e.kept_since = std::max(e.kept_since, oldest + Span::micros(1));
     }
-    if (f.what.session) e.kept[f.what.session] = {f.what.prompt_tokens, now_};
-    if (f.what.shared_text) e.kept[f.what.shared_text] = {f.what.shared_tokens, now_};
+    e.keep(f.what.session, f.what.prompt_tokens, now_),
+        e.keep(f.what.shared_text, f.what.shared_tokens, now_);
     if (e.kept.size() > texts_kept) e.kept.clear();  // a bound for long lives; it fills again within seconds
   }
 
-  // Tokens a second that readers of a kind were lately seen to reach where little stood in the way: the
-  // median would count the queues of other fronts as slow reading, and hold ever more the longer they get.
+  // Tokens a second where little stood in the way: the median would count queues as slow reading.
   double rate(std::uint8_t kind) { return 1.0 / paces(kind).first; }
 
   struct Paces {
@@ -560,14 +540,13 @@
 
   bool is_cold(const Engine& e) const { return e.cold && now_ - e.cold_since < s_.cold; }
   double coldness(const Engine& e) const {
-    if (!is_cold(e)) return 1;
-    return 1.0 / std::max(0.05, s_.cold_from + (1 - s_.cold_from) * ((now_ - e.cold_since) / s_.cold));
+    const double warmed = s_.cold_from + (1 - s_.cold_from) * ((now_ - e.cold_since) / s_.cold);
+    return is_cold(e) ? 1.0 / std::max(0.05, warmed) : 1;
   }
 
-  // Rule 4. What all fronts may send a fresh engine in one window is what the engines of its role carry,
-  // times the part of the capacity that is sure, times the multiple, less what chance adds where each front
-  // sends less than one a window. Each front's sends are spaced by its share, and its first waits for its
-  // turn.
+  // Rule 4. All fronts may send a fresh engine in one window what engines of its role carry, times the sure
+  // part of the capacity and the multiple, less what chance adds where each front sends less than one a
+  // window. Each spaces its sends by its share, and its first waits for its turn.
   bool may_push(const Engine& e) const {
     if (!is_cold(e)) return true;
     const bool reads = e.stage == Stage::Read;
@@ -590,10 +569,11 @@
 
   // Whether the role has sound engines that are only full, so that waiting makes sense.
   bool merely_full(const Inference& f, bool read) const {
-    for (const auto& [id, e] : engines_)
-      if (e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(id))
-        if (read ? e.reads : e.writes) return true;
-    return false;
+    return std::any_of(engines_.begin(), engines_.end(), [&](const auto& known) {
+      const auto& [id, e] = known;
+      const bool sound = e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(id);
+      return sound && (read ? e.reads : e.writes);
+    });
   }
 
   // Rule 2: sends that may have run bind the further ones to their group and window.
@@ -604,9 +584,8 @@
       if (!s.ran || s.to_reader) return false;
       if (now_ - s.at >= r.dedupe_window - tick) return true;
       if (r.dedupe_group == DedupeGroup::All) return false;
-      const auto it = engines_.find(s.engine);
-      if (it == engines_.end() || it->second.entry.zone != to.entry.zone) return true;
-      return r.dedupe_group == DedupeGroup::Rack && it->second.entry.rack != to.entry.rack;
+      const EngineEntry& was = engines_.at(s.engine).entry;
+      return was.zone != to.entry.zone || (r.dedupe_group == DedupeGroup::Rack && was.rack != to.entry.rack);
     });
   }
 
@@ -637,19 +616,17 @@
     ++e.out;
     e.sent = true, e.last_send = now_;
     if (e.doubted) e.next_trial = now_ + trial_gap();
-    // Where no second copy may help a silent send, it gets a time-out that leaves room for another.
     const Span limit = s_.second_copies ? Span{} : std::max(patience(e) * 3, (f.ends - now_) * 0.4);
     out_.push_back(SendTo{f.what.inf, to, limit});
   }
 
   void cancel(Inference& f, Send& s) {
     if (!s.out || s.cancelled || s.started || !s_.may_cancel) return;
-    s.cancelled = true;
+    s.cancelled = true,
     out_.push_back(CancelSend{f.what.inf, static_cast<std::uint8_t>(&s - f.sends.data())});
   }
 
-  // The final answer, at once; with a time to come back where that may help, spread over what clients heed so
-  // that those turned away do not return together.
+  // The final answer, at once; with a time to come back, spread over what clients heed, where that may help.
   void finish(Inference& f, bool advise = false) {
     std::uniform_real_distribution<double> spread(0.25, 1.0);
     const Span back = advise && s_.retry_advice ? s_.max_retry_after * spread(random_) : Span{};
@@ -701,8 +678,7 @@
     if (e.silence(now_) > usual) doubt(id, e, true, e.silence(now_).as_millis(), usual.as_millis());
   }
 
-  // All fronts together try a doubted engine about once in trial_every; a doubt older than samples live is no
-  // reason any more.
+  // All fronts together try a doubted engine about once in trial_every, each at least while samples live.
   Span trial_gap() const { return std::min(trial_every * s_.fronts, sample_life); }
 
   void doubt(const EngineId& id, Engine& e, bool silent, double seen, double usual) {
@@ -733,10 +709,10 @@
     }
     sign_of_life(id);
     if (e.doubted && bad < failing_share * all) trust(id, e);
-    if (end.as == EndedAs::ReadDone)
-      for (LastFew* waits : {&waits_, &e.waits})
-        waits->add(now_, end.elapsed.seconds() - 2 * (s.work + read_overhead) / rate(e.entry.kind));
-    if (end.as == EndedAs::ReadDone) e.pace.add(now_, end.elapsed.seconds() / (s.work + read_overhead));
+    if (end.as != EndedAs::ReadDone) return;
+    const double took = end.elapsed.seconds(), tokens = s.work + read_overhead;
+    const double beyond = took - 2 * tokens / rate(e.entry.kind);
+    e.pace.add(now_, took / tokens), e.waits.add(now_, beyond), waits_.add(now_, beyond);
   }
 
   void note_first_token(const Inference& f, const Send& s, Span elapsed) {
@@ -748,19 +724,14 @@
     if (!s.far) e->waits.add(now_, elapsed.seconds()), e->first_token.add(now_, per_1000);
   }
 
-  void take_report(Engine* e, const std::optional<LoadReport>& r) {
-    if (e && r) e->report = r, e->report_at = now_, e->booked_at_report = booked(e->writing);
-  }
   bool fresh(const Engine& e) const { return e.report && now_ - e.report_at < report_life; }
   bool tells_memory(const Engine& e) const { return fresh(e) && e.report->memory_share; }
 
   void look_after(Inference& f) {
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return;
     if (f.ends - now_ <= answer_margin) return finish(f);
-    if (f.phase == Phase::Handing && !f.any_out()) {
-      hand_over(f, tick);
-      if (f.phase == Phase::Handing && pin_is_near(f)) back_to_queue(f);
-    }
+    if (f.phase == Phase::Handing && !f.any_out()) hand_over(f, tick);
+    if (f.phase == Phase::Handing && !f.any_out() && pin_is_near(f)) back_to_queue(f);
     if (f.phase == Phase::Reading || f.phase == Phase::Answering) rescue(f);
   }
 
@@ -782,11 +753,10 @@
   }
 
   void second_read(Inference& f) {
-    std::optional<EngineId> best;
-    double least = never;
-    for (auto& [id, e] : engines_)
-      if (e.stage == Stage::Read && !e.doubted && usable(f, id, e, false))
-        if (const double cost = reader_cost(f, e); cost < least) best = id, least = cost;
+    const auto measure = [&](const EngineId& id, const Engine& e) {
+      return e.stage == Stage::Read && !e.doubted && usable(f, id, e, false) ? reader_cost(f, e) : never;
+    };
+    const auto best = lowest(measure).second;
     if (!best) return;
     book_reader(f, *best, to_read(f, engines_[*best]));
     send(f, *best, true);
@@ -794,11 +764,11 @@
 
   bool pin_is_near(const Inference& f) const { return now_ - f.held_since > s_.pin_limit - tick * 3; }
 
-  double least_at_readers(auto measure) const {
-    double least = never;
-    for (const auto& [id, e] : engines_)
-      if (e.lifecycle == Lifecycle::Ready && !e.doubted && e.reads) least = std::min(least, measure(e));
-    return least;
+  double least_at_readers(auto measure) {
+    const auto sound = [&](const EngineId&, const Engine& e) {
+      return e.lifecycle == Lifecycle::Ready && !e.doubted && e.reads ? measure(e) : never;
+    };
+    return lowest(sound).first;
   }
 
   // Until its first token, if it were booked now: the cheapest read, and what lately came after reads.
@@ -809,11 +779,11 @@
     return Span::from_seconds(((least < never ? least : 0.0) + after) * needed_margin);
   }
 
-  // Worth per unit of the scarce role's work: what is mostly kept already costs a reader little. The worst
-  // served route counts as priced; what can no longer be in time counts for its late value. Covers overload,
-  // lost engines and lost texts alike; in long overload it could starve sessions that nobody keeps.
+  // Worth per unit of the scarce role's work: what is mostly kept already costs a reader little; what can no
+  // longer be in time counts for its late value. Covers overload, lost engines and lost texts alike; in long
+  // overload it could starve sessions that nobody keeps.
   double urgency(const Inference& f) {
-    double worth = s_.whole_weight * route(f.what).value;
+    double worth = route(f.what).value;
     if (now_ + needed(f) > f.target) worth *= route(f.what).late_value;
     if (f.what.resumed) worth *= 2;
     double cost = std::min(least_at_readers([&](const Engine& e) { return to_read(f, e); }), f.whole());
@@ -827,8 +797,7 @@
   void tell_holding(bool held) {
     if (std::exchange(holding_, held) == held || (told_at_ && now_ - *told_at_ < Span::millis(2000))) return;
     told_at_ = now_;
-    say(holding_ ? "holding on: reads wait %.2f s, first tokens after them %.2f s"
-                 : "holding off: reads wait %.2f s, first tokens after them %.2f s",
+    say(held ? "holding on: reads wait %.2f s, answers %.2f" : "holding off: reads wait %.2f s, answers %.2f",
         unseen_wait_, writers_wait_);
   }
 
@@ -854,10 +823,8 @@
   double home_found_ = 0.5;    // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, Paces> paces_;
   std::deque<std::pair<EngineId, EngineId>> siblings_;
-  std::map<std::uint16_t, std::size_t> racks_;
   std::vector<std::pair<double, const Candidate*>> near_;
   std::vector<std::pair<double, InfId>> line_;  // those that wait, most urgent first
-  std::vector<InfId> ended_;
   std::vector<Action> out_;
 };
 
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -113,6 +113,9 @@
     for (const auto& [key, at] : awaited) oldest = std::min(oldest, at);
     return now - std::max(oldest, last_sign);
   }
+  void keep(TextKey key, double tokens, Instant now) {
+    if (key != 0) kept[key] = {tokens, now};
+  }
   double knows(TextKey key, double most) const {
     const auto it = kept.find(key);
     return key != 0 && it != kept.end() && it->second.second >= kept_since ? std::min(it->second.first, most)
@@ -161,8 +164,37 @@
   Instant now_;
   std::map<EngineId, Engine> engines_;
   std::map<InfId, Inference> infs_;
+  std::map<std::uint16_t, std::size_t> racks_;  // counted in the order in which they were named
+  std::vector<InfId> ended_;
   Flow reading_, writing_;
 
+  // A restart under the same id, or a return: nothing learnt before holds any more.
+  Engine& enlist(const EngineEntry& entry, Engine fresh, double turn) {
+    Engine& eng = engines_[entry.engine];
+    if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
+      fresh.read_for = eng.read_for, fresh.write_for = eng.write_for;
+      fresh.turn = turn, fresh.heard = now_;
+      fresh.cold = entry.started.has_value(), fresh.cold_since = entry.started.value_or(Instant{});
+      eng = std::move(fresh);
+    }
+    eng.entry = entry, eng.lifecycle = entry.lifecycle;
+    eng.rack = racks_.emplace(entry.rack, racks_.size()).first->second;
+    return eng;
+  }
+  void take_report(const EngineId& id, const std::optional<LoadReport>& r) {
+    Engine* e = engine(id);
+    if (e && r) e->report = r, e->report_at = now_, e->booked_at_report = booked(e->writing);
+  }
+  bool pending() const {
+    return std::any_of(infs_.begin(), infs_.end(), [](const auto& i) {
+      return i.second.phase != Phase::Streaming && i.second.phase != Phase::Over;
+    });
+  }
+  void forget_ended() {
+    for (InfId id : std::exchange(ended_, {}))
+      if (const auto it = infs_.find(id); it != infs_.end() && !it->second.any_out()) infs_.erase(it);
+  }
+
   Engine* engine(const EngineId& id) {
     const auto it = engines_.find(id);
     return it == engines_.end() ? nullptr : &it->second;
--- a/src/simhost/wire.hpp
+++ b/src/simhost/wire.hpp
@@ -25,7 +25,7 @@
 inline constexpr std::size_t batch_header_size = 16;
 BatchHeader read_header(std::span<const std::uint8_t> bytes);
 
-enum class ReportField { Held, Waiting, Slots, Service, Completed, Failed, Memory, Tokens, Unknown };
+enum class ReportField { Held, Waiting, Memory, Tokens, Unknown };
 
 struct Decoded {
   Settings settings;
