--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -477,7 +477,8 @@
     if (texts_.size() > texts_seen) texts_.pop_front();
     std::vector<std::pair<std::uint64_t, EngineId>> readers;
     for (const auto& [id, e] : engines_)
-      if (e.lifecycle == Lifecycle::Ready && e.reads) readers.emplace_back(hash(a.shared_text, id), id);
+      if (e.lifecycle == Lifecycle::Ready && e.stage == Stage::Read)
+        readers.emplace_back(hash(a.shared_text, id), id);
     if (readers.empty() || a.session == 0) return {};
     if (a.shared_text != 0) {
       const auto seen = static_cast<double>(std::count(texts_.begin(), texts_.end(), a.shared_text));
