--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -285,7 +285,7 @@
     if (s_.fronts < 2) return;
     std::vector<Candidate> all;
     for (auto& [id, e] : engines_) {
-      if (e.lifecycle != Lifecycle::Ready || e.doubted) continue;
+      if (e.lifecycle != Lifecycle::Ready || e.doubted || closed(e, f)) continue;
       Candidate c{id, &e, e.reads, e.writes, 0, 0, 0, 0, 0};
       const double read =
           slowness(e) * coldness(e) / rate(e.entry.kind) * (e.stage == Stage::Read ? 1 : mixed_weight);
