--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -237,7 +237,7 @@
   return s;
 }
 
-// Found at full size: each front's first send to a fresh engine went at once, so all fronts' together fell on it.
+// Found at full size: each front sent to a fresh engine at once, and all together pushed it over.
 TEST(Router, ManyFrontsStayWithinAFreshEnginesBudget) {
   std::vector<EngineEntry> fleet;
   for (int n = 0; n < 20; ++n) fleet.push_back(entry(n, n % 2));
