One place for what a sibling stands for, a far move and reads beside answers; no action changes

State that follows from other state goes (cold and its start from the list's entry, sent from the last send); the rack is counted once; the time an inference needs is worked out once in admit, what a home keeps once for all siblings. Case labels on one line again.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -56,7 +56,7 @@
   EngineId id;
   Engine* engine;
   bool reads, writes;
-  double read, read_each, write, write_each, write_weight;
+  double read = 0, read_each = 0, write = 0, write_each = 0, write_weight = 0;
   double read_now() const { return read + read_each * (engine->read_for + engine->turn); }
   double write_now() const {
     return write + write_weight * crowding(write_each * (engine->write_for + engine->turn));
@@ -180,10 +180,8 @@
     for (const auto& entry : e.entries) {
       named.insert(entry.engine);
       const double turn = std::uniform_real_distribution<double>()(random_);
-      Engine& eng = enlist(entry, Engine{samples_kept, waits_kept}, turn);
-      eng.is_of(entry.kind < s_.kinds.size() ? s_.kinds[entry.kind] : EngineKind{}, s_.writers_read,
-                no_memory);
-      eng.rack = racks_.emplace(entry.rack, racks_.size()).first->second;
+      const EngineKind kind = entry.kind < s_.kinds.size() ? s_.kinds[entry.kind] : EngineKind{};
+      enlist(entry, Engine{samples_kept, waits_kept}, turn).is_of(kind, s_.writers_read, no_memory);
     }
     if (e.scope == ListScope::Delta) return;
     for (auto& [id, eng] : engines_)
@@ -211,13 +209,13 @@
       if (it == infs_.end() || it->second.phase != Phase::Waiting) continue;
       if (!anew && held.size() >= 3) break;
       Inference& f = it->second;
+      const Span need = needed(f);
       if (!may_send(f)) give_up_if_idle(f);
-      else if (f.ends - now_ <= needed(f, f.ends < f.target ? 1 : read_weight) + answer_margin)
-        finish(f, true);
+      else if (f.ends - now_ <= (f.ends < f.target ? needed(f, 1) : need) + answer_margin) finish(f, true);
       if (f.phase != Phase::Waiting || !may_send(f)) continue;
       if (held.size() < 3 && book(f)) continue;  // a few smaller ones may pass a large one; no more
       held.push_back(&f);
-      if (now_ + needed(f) > f.target) late.push_back(&f);
+      if (now_ + need > f.target) late.push_back(&f);
       else on_time = true;
     }
     // While others can still be in time, the late are told at once, with a time to come back.
@@ -237,7 +235,7 @@
       bool reads = false;
       for (auto& [id, e] : engines_) {
         if (!usable(f, id, e, any)) continue;
-        Candidate c{id, &e, e.reads && !reader_full(e, f), e.writes && !writer_full(e, f), 0, 0, 0, 0, 0};
+        Candidate c{id, &e, e.reads && !reader_full(e, f), e.writes && !writer_full(e, f)};
         if (c.reads) c.read = reader_cost(f, e) + way_cost(nullptr, e);
         if (c.writes) c.write = writer_cost(e) + (e.itself && c.reads ? 0 : way_cost(nullptr, e));
         reads |= c.reads;
@@ -266,7 +264,7 @@
       if (w.first < near_[c.engine->rack].first) near_[c.engine->rack] = w;
       if (w.first < least.first) least = w;
     }
-    least.first += far_seconds * s_.far_price + far_extra_;
+    least.first += far_cost();
     double best = never;
     std::pair<const Candidate*, const Candidate*> pair{};
     for (const Candidate& c : all) {
@@ -286,20 +284,20 @@
     std::vector<Candidate> all;
     for (auto& [id, e] : engines_) {
       if (e.lifecycle != Lifecycle::Ready || e.doubted || closed(e, f)) continue;
-      Candidate c{id, &e, e.reads, e.writes, 0, 0, 0, 0, 0};
-      const double read =
-          slowness(e) * coldness(e) / rate(e.entry.kind) * (e.stage == Stage::Read ? 1 : mixed_weight);
+      Candidate c{id, &e, e.reads, e.writes};
+      const double read = slowness(e) * coldness(e) / rate(e.entry.kind) * beside_answers(e);
       c.read = f.what.prompt_tokens * read + way_cost(nullptr, e);
       c.write = way_cost(nullptr, e);
-      c.read_each = (s_.fronts - 1) * std::max(1.0, reading_.tokens) / siblings_kept * read;
-      c.write_each = (s_.fronts - 1) * std::max(1.0, writing_.tokens) / siblings_kept / e.memory;
+      c.read_each = a_sibling(true) * read;
+      c.write_each = a_sibling(false) / e.memory;
       c.write_weight = writer_seconds * slowness(e) * coldness(e) / size(e);
       all.push_back(c);
     }
+    const double found = found_at_home(f);
     const auto more = siblings_.empty() ? siblings_kept : siblings_each / 2 + random_() % siblings_each;
     for (auto k = all.empty() ? 0 : more; k > 0; --k) {
       Candidate& home = all[random_() % all.size()];
-      const double saved = found_at_home(f) / rate(home.engine->entry.kind);
+      const double saved = found / rate(home.engine->entry.kind);
       home.read -= saved;
       const auto [reader, writer] = cheapest(all);
       home.read += saved;
@@ -314,8 +312,10 @@
   }
 
   double others(const Engine& e, bool reads) const {
-    const double part = ((reads ? e.read_for : e.write_for) + e.turn) / siblings_kept;
-    return (s_.fronts - 1) * std::max(1.0, (reads ? reading_ : writing_).tokens) * part;
+    return a_sibling(reads) * ((reads ? e.read_for : e.write_for) + e.turn);
+  }
+  double a_sibling(bool reads) const {  // tokens that it stands for
+    return (s_.fronts - 1) * std::max(1.0, (reads ? reading_ : writing_).tokens) / siblings_kept;
   }
 
   void hold_place(Inference& f) {
@@ -389,11 +389,13 @@
       waiting +=
           std::max(0.0, *e.report->inferences_held - static_cast<double>(e.reading.size())) * read_overhead;
     else waiting += others(e, true);
-    const double both = e.stage == Stage::Read ? 1 : mixed_weight;
-    return both * (weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) * coldness(e) +
+    return beside_answers(e) * (weight * to_read(f, e) + waiting) / rate(e.entry.kind) * slowness(e) *
+               coldness(e) +
            link_cost(e);
   }
 
+  static double beside_answers(const Engine& e) { return e.stage == Stage::Read ? 1 : mixed_weight; }
+
   // A send to an engine with no open connection costs what opening one lately took. Guards against slow or
   // failing handshakes; by keeping to fewer engines it could leave some idle.
   bool linked(const Engine& e) const { return e.out > 0 || now_ < e.linked_until; }
@@ -451,9 +453,9 @@
 
   double way_cost(const Engine* from, const Engine& to) const {
     const bool far = from && from->entry.rack != to.entry.rack;
-    return (to.entry.zone != s_.zone ? far_seconds * s_.zone_price : 0) +
-           (far ? far_seconds * s_.far_price + far_extra_ : 0);
+    return (to.entry.zone != s_.zone ? far_seconds * s_.zone_price : 0) + (far ? far_cost() : 0);
   }
+  double far_cost() const { return far_seconds * s_.far_price + far_extra_; }
 
   // What of the prompt this reader should not have kept. A session's turns come in through many fronts: they
   // agree without talking on the reader where its texts are looked for, while the table knows nothing.
@@ -503,8 +505,8 @@
           oldest = std::min(oldest, it->second.second);
       e.kept_since = std::max(e.kept_since, oldest + Span::micros(1));
     }
-    e.keep(f.what.session, f.what.prompt_tokens, now_),
-        e.keep(f.what.shared_text, f.what.shared_tokens, now_);
+    e.keep(f.what.session, f.what.prompt_tokens, now_);
+    e.keep(f.what.shared_text, f.what.shared_tokens, now_);
     if (e.kept.size() > texts_kept) e.kept.clear();  // a bound for long lives; it fills again within seconds
   }
 
@@ -539,10 +541,10 @@
     return e.slow.second;
   }
 
-  bool is_cold(const Engine& e) const { return e.cold && now_ - e.cold_since < s_.cold; }
+  bool is_cold(const Engine& e) const { return e.entry.started && now_ - *e.entry.started < s_.cold; }
   double coldness(const Engine& e) const {
-    const double warmed = s_.cold_from + (1 - s_.cold_from) * ((now_ - e.cold_since) / s_.cold);
-    return is_cold(e) ? 1.0 / std::max(0.05, warmed) : 1;
+    const Span age = now_ - e.entry.started.value_or(now_);
+    return is_cold(e) ? 1.0 / std::max(0.05, s_.cold_from + (1 - s_.cold_from) * (age / s_.cold)) : 1;
   }
 
   // Rule 4. All fronts may send a fresh engine in one window what engines of its role carry, times the sure
@@ -559,8 +561,8 @@
     const double budget = s_.fall_multiple * s_.cold_from * mean, part = cold_share * budget;
     const double chance = 3 * std::sqrt(std::min(part, fronts / 4));
     const double allowed = std::max({std::min(part, budget - chance), cold_surely * budget, cold_least});
-    const Span since = now_ - std::max(e.last_send, e.heard);
-    return since.seconds() >= window * fronts / allowed * (e.sent ? 1 : e.turn);
+    const Span since = now_ - e.last_send.value_or(e.heard);
+    return since.seconds() >= window * fronts / allowed * (e.last_send ? 1 : e.turn);
   }
 
   bool usable(const Inference& f, const EngineId& id, const Engine& e, bool any) const {
@@ -614,8 +616,7 @@
       s.far = from->entry.rack != e.entry.rack;
     f.sends.push_back(s);
     e.awaited[{f.what.inf, f.sends.size() - 1}] = now_;
-    ++e.out;
-    e.sent = true, e.last_send = now_;
+    ++e.out, e.last_send = now_;
     if (e.doubted) e.next_trial = now_ + trial_gap();
     const Span limit = s_.second_copies ? Span{} : std::max(patience(e) * 3, (f.ends - now_) * 0.4);
     out_.push_back(SendTo{f.what.inf, to, limit});
@@ -623,7 +624,7 @@
 
   void cancel(Inference& f, Send& s) {
     if (!s.out || s.cancelled || s.started || !s_.may_cancel) return;
-    s.cancelled = true,
+    s.cancelled = true;
     out_.push_back(CancelSend{f.what.inf, static_cast<std::uint8_t>(&s - f.sends.data())});
   }
 
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -92,8 +92,9 @@
   LastFew waits, gaps, pace, first_token, failures;
   std::map<std::pair<InfId, std::size_t>, Instant> awaited;  // sends not begun, by when they were sent
   std::map<std::size_t, Instant> full_until;                 // by model route
-  Instant last_sign, last_send, linked_until, heard, next_trial, cold_since, report_at;
-  bool cold = false, doubted = false, silent = false, sent = false;
+  Instant last_sign, linked_until, heard, next_trial, report_at;
+  std::optional<Instant> last_send;
+  bool doubted = false, silent = false;
   std::size_t rack = 0;             // counted from 0
   int out = 0;                      // sends
   double turn = 0;                  // where this front stands among all, in [0, 1)
@@ -174,7 +175,6 @@
     if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
       fresh.read_for = eng.read_for, fresh.write_for = eng.write_for;
       fresh.turn = turn, fresh.heard = now_;
-      fresh.cold = entry.started.has_value(), fresh.cold_since = entry.started.value_or(Instant{});
       eng = std::move(fresh);
     }
     eng.entry = entry, eng.lifecycle = entry.lifecycle;
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -38,8 +38,8 @@
   while (fill(head, batch_header_size, true, "a batch's header")) {
     const BatchHeader header = read_header(head);
     const std::string batch = "batch " + std::to_string(header.number);
-    for (std::size_t got = 0;
-         got < header.length;) {  // in pieces: a wrong length must not ask for 4 GB at once
+    // In pieces: a wrong length must not ask for 4 GB at once.
+    for (std::size_t got = 0; got < header.length;) {
       std::vector<std::uint8_t> piece;
       const std::size_t want = std::min<std::size_t>(header.length - got, 1 << 22);
       if (got == 0 && want == header.length) {
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -74,26 +74,16 @@
 EndedAs RecordReader::outcome() {
   const auto code = number(2);
   switch (code) {
-    case 200:
-      return EndedAs::Completed;
-    case 502:
-      return EndedAs::Errored;
-    case 429:
-      return EndedAs::Full;
-    case 408:
-      return EndedAs::TimedOut;
-    case 521:
-      return EndedAs::ConnectFailed;
-    case 520:
-      return EndedAs::Reset;
-    case 444:
-      return EndedAs::Cancelled;
-    case 409:
-      return EndedAs::Moot;
-    case 77:
-      return EndedAs::ReadDone;
-    default:
-      fail("unknown outcome " + std::to_string(code));
+    case 200: return EndedAs::Completed;
+    case 502: return EndedAs::Errored;
+    case 429: return EndedAs::Full;
+    case 408: return EndedAs::TimedOut;
+    case 521: return EndedAs::ConnectFailed;
+    case 520: return EndedAs::Reset;
+    case 444: return EndedAs::Cancelled;
+    case 409: return EndedAs::Moot;
+    case 77: return EndedAs::ReadDone;
+    default: fail("unknown outcome " + std::to_string(code));
   }
 }
 
@@ -118,15 +108,9 @@
   const auto inf = [&] { return static_cast<InfId>(number(4)); };
   const auto send = [&] { return static_cast<std::uint8_t>(number(1)); };
   switch (code) {
-    case 1:
-      out.event = TimerFired{number(8)};
-      break;
-    case 2:
-      out.event = ClientLeft{inf()};
-      break;
-    case 3:
-      out.event = StreamStarted{inf(), send(), engine(), span()};
-      break;
+    case 1: out.event = TimerFired{number(8)}; break;
+    case 2: out.event = ClientLeft{inf()}; break;
+    case 3: out.event = StreamStarted{inf(), send(), engine(), span()}; break;
     case 4: {
       out.what = Record::What::Boot;
       out.seed = number(8);
@@ -153,9 +137,7 @@
       out.event = a;
       break;
     }
-    case 6:
-      out.what = Record::What::Shutdown;
-      break;
+    case 6: out.what = Record::What::Shutdown; break;
     case 7: {
       ProbeEnded p;
       p.engine = engine();
@@ -168,20 +150,11 @@
     case 8: {
       FleetListed f;
       switch (const auto scope = number(1)) {
-        case 0:
-          f.scope = ListScope::Full;
-          break;
-        case 1:
-          f.scope = ListScope::Failed;
-          break;
-        case 2:
-          f.scope = ListScope::Cached;
-          break;
-        case 3:
-          f.scope = ListScope::Delta;
-          break;
-        default:
-          fail("unknown scope " + std::to_string(scope));
+        case 0: f.scope = ListScope::Full; break;
+        case 1: f.scope = ListScope::Failed; break;
+        case 2: f.scope = ListScope::Cached; break;
+        case 3: f.scope = ListScope::Delta; break;
+        default: fail("unknown scope " + std::to_string(scope));
       }
       f.version = number(8);
       for (auto n = number(4); n > 0; --n) {
@@ -194,17 +167,10 @@
         e.size = f32();
         e.engine = engine();
         switch (const auto state = number(1)) {
-          case 0:
-            e.lifecycle = Lifecycle::Draining;
-            break;
-          case 1:
-            e.lifecycle = Lifecycle::Gone;
-            break;
-          case 2:
-            e.lifecycle = Lifecycle::Ready;
-            break;
-          default:
-            fail("unknown lifecycle " + std::to_string(state));
+          case 0: e.lifecycle = Lifecycle::Draining; break;
+          case 1: e.lifecycle = Lifecycle::Gone; break;
+          case 2: e.lifecycle = Lifecycle::Ready; break;
+          default: fail("unknown lifecycle " + std::to_string(state));
         }
         f.entries.push_back(e);
       }
@@ -255,20 +221,11 @@
   for (std::size_t k = 0; k < values.size() && k < fields.size(); ++k) {
     const double v = static_cast<double>(values[k]);
     switch (fields[k]) {
-      case ReportField::Held:
-        r.inferences_held = v;
-        break;
-      case ReportField::Waiting:
-        r.waiting = v;
-        break;
-      case ReportField::Memory:
-        r.memory_share = v;
-        break;
-      case ReportField::Tokens:
-        r.tokens_waiting = v * 1000.0;
-        break;
-      case ReportField::Unknown:
-        break;
+      case ReportField::Held: r.inferences_held = v; break;
+      case ReportField::Waiting: r.waiting = v; break;
+      case ReportField::Memory: r.memory_share = v; break;
+      case ReportField::Tokens: r.tokens_waiting = v * 1000.0; break;
+      case ReportField::Unknown: break;
     }
   }
   return r;
