The module's tables stand under policy: ledgers' booking, flow estimate, kept texts

Need: state.hpp said that nothing is decided there, yet it held the ledgers' booking, the flow estimate and the table of kept texts. They stand in src/routing/tables.hpp now, which policy names; state.hpp keeps types only. No action is meant to change.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -17,7 +17,7 @@
 #include <limits>
 #include <random>
 
-#include "routing/state.hpp"
+#include "routing/tables.hpp"
 
 namespace calicograde {
 namespace {
@@ -469,8 +469,8 @@
   }
 
   double known(const Inference& f, const Engine& e) const {
-    return std::max(e.knows(f.what.session, f.what.prompt_tokens),
-                    e.knows(f.what.shared_text, f.what.shared_tokens));
+    return std::max(knows(e, f.what.session, f.what.prompt_tokens),
+                    knows(e, f.what.shared_text, f.what.shared_tokens));
   }
 
   // By hash: a few readers for each shared text, more the oftener it comes; one of them for each session.
@@ -505,8 +505,8 @@
           oldest = std::min(oldest, it->second.second);
       e.kept_since = std::max(e.kept_since, oldest + Span::micros(1));
     }
-    e.keep(f.what.session, f.what.prompt_tokens, now_);
-    e.keep(f.what.shared_text, f.what.shared_tokens, now_);
+    keep(e, f.what.session, f.what.prompt_tokens, now_);
+    keep(e, f.what.shared_text, f.what.shared_tokens, now_);
     if (e.kept.size() > texts_kept) e.kept.clear();  // a bound for long lives; it fills again within seconds
   }
 
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-// What the decisions remember of sends and inferences, and how samples are kept. Nothing is decided here.
+// Types: what is remembered of engines, sends and inferences, and how samples are kept. The tables that they
+// stand in, and all that is decided, are in tables.hpp and router.cpp.
 
 #include <algorithm>
 #include <cmath>
@@ -57,27 +58,6 @@
 };
 
 using Ledger = std::map<InfId, std::pair<double, Instant>>;  // tokens booked, and since when, by inference
-inline double booked(const Ledger& ledger) {
-  double tokens = 0;
-  for (const auto& [inf, b] : ledger) tokens += b.first;
-  return tokens;
-}
-
-// What a front books in one ledger, over its last bookings: one that books seldom has, at any one moment, far
-// more or far less than its mean.
-struct Flow {
-  explicit Flow(std::size_t most) : made(most), freed(most) {}
-  LastFew made, freed;              // tokens x seconds, when freed
-  double a_second = 0, tokens = 0;  // bookings, and the mean of what is booked
-  void work_out(Instant now, Instant begun, Span window) {
-    const Instant from = std::max(begun, now - window);
-    const auto recent = made.since(from), held = freed.since(from);
-    const Span over = now - (made.full() ? std::max(from, made.oldest()) : from);
-    a_second = static_cast<double>(recent.size()) / std::max(1.0, over.seconds());
-    tokens = held.empty() ? 0 : a_second * sum(held) / static_cast<double>(held.size());
-  }
-};
-
 struct Engine {
   explicit Engine(std::size_t few = 1, std::size_t fewer = 1)
       : waits(fewer), gaps(few), pace(few), first_token(few), failures(few) {}
@@ -114,14 +94,6 @@
     for (const auto& [key, at] : awaited) oldest = std::min(oldest, at);
     return now - std::max(oldest, last_sign);
   }
-  void keep(TextKey key, double tokens, Instant now) {
-    if (key != 0) kept[key] = {tokens, now};
-  }
-  double knows(TextKey key, double most) const {
-    const auto it = kept.find(key);
-    return key != 0 && it != kept.end() && it->second.second >= kept_since ? std::min(it->second.first, most)
-                                                                           : 0;
-  }
 };
 
 struct Send {
@@ -159,85 +131,6 @@
   }
 };
 
-// The engines and inferences at hand, and what is booked in the two ledgers.
-struct State {
-  explicit State(std::size_t bookings_kept) : reading_(bookings_kept), writing_(bookings_kept) {}
-  Instant now_;
-  std::map<EngineId, Engine> engines_;
-  std::map<InfId, Inference> infs_;
-  std::map<std::uint16_t, std::size_t> racks_;  // counted in the order in which they were named
-  std::vector<InfId> ended_;
-  Flow reading_, writing_;
-
-  // A restart under the same id, or a return: nothing learnt before holds any more.
-  Engine& enlist(const EngineEntry& entry, Engine fresh, double turn) {
-    Engine& eng = engines_[entry.engine];
-    if (eng.entry.started != entry.started || eng.lifecycle == Lifecycle::Gone) {
-      fresh.read_for = eng.read_for, fresh.write_for = eng.write_for;
-      fresh.turn = turn, fresh.heard = now_;
-      eng = std::move(fresh);
-    }
-    eng.entry = entry, eng.lifecycle = entry.lifecycle;
-    eng.rack = racks_.emplace(entry.rack, racks_.size()).first->second;
-    return eng;
-  }
-  void take_report(const EngineId& id, const std::optional<LoadReport>& r) {
-    Engine* e = engine(id);
-    if (e && r) e->report = r, e->report_at = now_, e->booked_at_report = booked(e->writing);
-  }
-  bool pending() const {
-    return std::any_of(infs_.begin(), infs_.end(), [](const auto& i) {
-      return i.second.phase != Phase::Streaming && i.second.phase != Phase::Over;
-    });
-  }
-  void forget_ended() {
-    for (InfId id : std::exchange(ended_, {}))
-      if (const auto it = infs_.find(id); it != infs_.end() && !it->second.any_out()) infs_.erase(it);
-  }
-
-  Engine* engine(const EngineId& id) {
-    const auto it = engines_.find(id);
-    return it == engines_.end() ? nullptr : &it->second;
-  }
-
-  std::pair<Inference*, Send*> find(InfId inf, std::size_t k) {
-    const auto it = infs_.find(inf);
-    const bool known = it != infs_.end() && k < it->second.sends.size();
-    return known ? std::pair{&it->second, &it->second.sends[k]} : std::pair<Inference*, Send*>{};
-  }
-
-  void book_reader(Inference& f, const EngineId& id, double tokens) {
-    engines_[id].reading[f.what.inf] = {std::max(1.0, tokens), now_};
-    reading_.made.add(now_, 1);
-  }
-  void book_writer(Inference& f, const EngineId& id) {
-    if (f.writer && f.writer != id) free(*f.writer, f.what.inf, false, true);
-    if (engines_[id].writing.insert_or_assign(f.what.inf, std::pair{f.whole(), now_}).second)
-      writing_.made.add(now_, 1);
-    f.writer = id;
-  }
-
-  void free(const EngineId& id, InfId inf, bool read, bool write) {
-    Engine* e = engine(id);
-    const auto from = [&](Ledger& ledger, Flow& flow) {
-      const auto it = ledger.find(inf);
-      if (it == ledger.end()) return;
-      flow.freed.add(now_, it->second.first * (now_ - it->second.second).seconds());
-      ledger.erase(it);
-    };
-    if (e && read) from(e->reading, reading_);
-    if (e && write) from(e->writing, writing_);
-  }
-
-  void unbook(Inference& f) {
-    for (const auto& s : f.sends) free(s.engine, f.what.inf, true, true);
-    if (f.writer) free(*f.writer, f.what.inf, true, true);
-    f.writer.reset();
-    f.state_at.reset();
-    f.place_at.reset();
-  }
-};
-
 // The same at every front: mixes a text's key with an engine's id.
 inline std::uint64_t hash(std::uint64_t key, const EngineId& id) {
   const std::uint64_t parts[] = {id.address[0] * 256ULL + id.address[1],
