--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,87 @@
+// calicograded: one front. Prints one line of JSON on standard output when it is ready, logs on standard
+// error.
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "front/core.hpp"
+#include "front/messages_front.hpp"
+#include "front/server.hpp"
+#include "net/clock.hpp"
+#include "version.hpp"
+
+using namespace calicograde;
+
+namespace {
+
+constexpr int wrong_settings = 2, cannot_start = 3, cut_short = 4;
+
+int run(const std::string& file, bool with_parent) {
+  std::vector<settings::Fault> faults;
+  const auto settings = settings::load_file(file, faults);
+  for (const auto& f : faults) std::fprintf(stderr, "%s\n", settings::text_of(f).c_str());
+  if (!settings) return wrong_settings;
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM), sigaddset(&set, SIGINT);
+  // Blocked before any thread is started, so that all of them have it blocked.
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  if (with_parent) prctl(PR_SET_PDEATHSIG, SIGTERM);
+  const net::Fd signals(signalfd(-1, &set, SFD_CLOEXEC));
+  try {
+    log::Log log(settings->log_file, log::level_named(settings->log_level));
+    const std::size_t descriptors = net::lift_descriptor_limit();
+    if (settings->connections * 3 > descriptors)
+      log.line(log::Level::Warn, "few descriptors",
+               {{"limit", static_cast<std::int64_t>(descriptors)},
+                {"connections", static_cast<std::int64_t>(settings->connections)}});
+    front::Core core(*settings, log);
+    std::vector<std::unique_ptr<front::Protocol>> protocols;
+    protocols.push_back(front::messages_front(core));
+    front::Server server(core, std::move(protocols));
+    core.start();
+    // A front that no roster has told of any engine yet can only shed; it listens once one has, or after a
+    // while.
+    core.wait_for_rosters(net::clock_now() + Span::millis(5000));
+    server.start();
+    std::string where;
+    for (const auto& a : server.addresses()) where += (where.empty() ? "\"" : ",\"") + net::text_of(a) + "\"";
+    std::printf("{\"listening\":[%s],\"pid\":%d}\n", where.c_str(), getpid());
+    std::fflush(stdout);
+    log.line(log::Level::Info, "ready", {{"front", settings->name}, {"version", version}});
+    pollfd p{signals.get(), POLLIN, 0};
+    while (::poll(&p, 1, -1) < 0 && errno == EINTR) {}
+    log.line(log::Level::Info, "stopping", {{"open", static_cast<std::int64_t>(core.counts().open)}});
+    const bool clean = server.stop(net::clock_now() + settings->stop);
+    log.line(log::Level::Info, "stopped", {{"clean", std::int64_t{clean}}});
+    return clean ? 0 : cut_short;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "calicograded: %s\n", e.what());
+    return cannot_start;
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{
+      "calicograded: a front that pairs prompt readers with answer writers.\nExit: 0 stopped cleanly, 2 "
+      "wrong settings, 3 cannot start, 4 stopped with inferences cut short."};
+  app.set_version_flag("--version", std::string("calicograded ") + version);
+  std::string file;
+  bool with_parent = false;
+  app.add_option("--config", file, "settings, an XML file")->required();
+  app.add_flag("--with-parent", with_parent, "stop when the starting process ends");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 64;
+  }
+  return run(file, with_parent);
+}
--- /dev/null
+++ b/src/engines/completions.cpp
@@ -0,0 +1,154 @@
+#include "engines/completions.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace calicograde::engines {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+std::string dump(const Json& j) { return j.dump(-1, ' ', false, Json::error_handler_t::replace); }
+Json parse(std::string_view text) { return Json::parse(text, nullptr, false); }
+
+const Json* at(const Json& j, const char* name) {
+  if (!j.is_object()) return nullptr;
+  const auto it = j.find(name);
+  return it == j.end() || it->is_null() ? nullptr : &*it;
+}
+double number(const Json& j, const char* name) {
+  const Json* v = at(j, name);
+  return v && v->is_number() ? v->get<double>() : 0;
+}
+std::string text(const Json& j, const char* name) {
+  const Json* v = at(j, name);
+  return v && v->is_string() ? v->get<std::string>() : std::string{};
+}
+
+std::optional<Usage> usage_of(const Json& j) {
+  const Json* u = at(j, "usage");
+  if (!u) return std::nullopt;
+  Usage out{number(*u, "prompt_tokens"), 0, number(*u, "completion_tokens")};
+  if (const Json* d = at(*u, "prompt_tokens_details")) out.kept_tokens = number(*d, "cached_tokens");
+  if (!(out.prompt_tokens >= 0) || !(out.kept_tokens >= 0) || out.prompt_tokens > 1e9 ||
+      out.kept_tokens > 1e9)
+    return std::nullopt;
+  return out;
+}
+
+}  // namespace
+
+std::string ask_body(Leg leg, const std::string& model, const Prompt& p, const std::string& state,
+                     const std::string& place) {
+  Json messages = Json::array();
+  if (!p.system.empty()) messages.push_back({{"role", "system"}, {"content", p.system}});
+  for (const auto& t : p.turns)
+    messages.push_back({{"role", t.assistant ? "assistant" : "user"}, {"content", t.text}});
+  Json j{{"model", model}, {"messages", std::move(messages)}};
+  const bool read = leg == Leg::Read;
+  j["max_tokens"] = read ? 1 : p.max_tokens;
+  j["stream"] = !read;
+  if (!read) j["stream_options"] = {{"include_usage", true}};
+  if (!p.stops.empty() && !read) j["stop"] = p.stops;
+  if (p.temperature) j["temperature"] = *p.temperature;
+  if (p.top_p) j["top_p"] = *p.top_p;
+  if (p.top_k && *p.top_k > 0) j["top_k"] = *p.top_k;
+  if (read)
+    j["kv_transfer_params"] = {{"do_remote_decode", true},    {"do_remote_prefill", false},
+                               {"remote_engine_id", nullptr}, {"remote_block_ids", nullptr},
+                               {"remote_host", nullptr},      {"remote_port", nullptr}};
+  if (leg == Leg::Write) j["kv_transfer_params"] = parse(state);
+  if (!place.empty()) j["calicograde_place"] = place;
+  return dump(j);
+}
+
+std::optional<ReadAnswer> parse_read(std::string_view body) {
+  const Json j = parse(body);
+  const Json* state = at(j, "kv_transfer_params");
+  const auto usage = usage_of(j);
+  if (!state || !state->is_object() || !usage) return std::nullopt;
+  return ReadAnswer{dump(*state), *usage};
+}
+
+std::optional<Chunk> parse_chunk(std::string_view data) {
+  Chunk out;
+  if (data == "[DONE]") return out.done = true, out;
+  const Json j = parse(data);
+  if (!j.is_object() || at(j, "error")) return std::nullopt;
+  out.usage = usage_of(j);
+  const Json* choices = at(j, "choices");
+  if (!choices && !out.usage) return std::nullopt;
+  if (!choices || !choices->is_array() || choices->empty()) return out;
+  const Json& c = choices->front();
+  if (const Json* delta = at(c, "delta")) out.text = text(*delta, "content");
+  out.finish = text(c, "finish_reason");
+  out.stop = text(c, "stop_reason");
+  return out;
+}
+
+Judged judge(Leg leg, const SendFacts& f) {
+  using C = SendFacts::Connect;
+  if (f.not_sent || f.connect == C::NoDescriptor) return {EndedAs::Moot};
+  // A send that was called off before one byte was written ran nowhere, yet the module asked for the cancel.
+  if (f.cancelled) return {EndedAs::Cancelled};
+  if (f.connect != C::Connected || (!f.any_written && !f.timed_out)) return {EndedAs::ConnectFailed};
+  if (f.timed_out) return {EndedAs::TimedOut};
+  if (f.status == 0) return {EndedAs::Reset};
+  if (f.status == 200) {
+    if (!f.understood) return {EndedAs::Errored};
+    if (!f.body_whole || (leg != Leg::Read && !f.finished)) return {EndedAs::Reset};
+    return {leg == Leg::Read ? EndedAs::ReadDone : EndedAs::Completed};
+  }
+  if (f.error_code == "kv_state_gone") return {EndedAs::Full, leg != Leg::Read};
+  const bool full =
+      f.status == 429 || (f.status == 503 && (f.error_code == "queue_full" || f.error_code == "draining"));
+  if (full) return {EndedAs::Full};
+  if (f.status == 400 || f.status == 413 || f.status == 422) return {EndedAs::Moot, false, true};
+  return {EndedAs::Errored};
+}
+
+EngineError parse_error(std::string_view body) {
+  const Json j = parse(body);
+  const Json* e = at(j, "error");
+  const Json& from = e ? *e : j;
+  EngineError out{text(from, "code"), text(from, "message")};
+  if (out.code.empty()) out.code = text(from, "type");
+  if (out.message.size() > 500) out.message.resize(500);
+  return out;
+}
+
+std::optional<LoadReport> parse_load(std::string_view header) {
+  LoadReport out;
+  bool any = false;
+  while (!header.empty()) {
+    const auto space = header.find(' ');
+    const std::string_view part = header.substr(0, space);
+    header = space == std::string_view::npos ? std::string_view{} : header.substr(space + 1);
+    const auto eq = part.find('=');
+    if (eq == std::string_view::npos) continue;
+    double n = 0;
+    const auto value = part.substr(eq + 1);
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), n);
+    if (error != std::errc{} || end != value.data() + value.size() || !(n >= 0) || n > 1e12) continue;
+    const auto name = part.substr(0, eq);
+    any = true;
+    if (name == "held") out.inferences_held = n;
+    else if (name == "waiting") out.waiting = n;
+    else if (name == "memory") out.memory_share = n;
+    else if (name == "tokens") out.tokens_waiting = n;
+  }
+  return any ? std::optional(out) : std::nullopt;
+}
+
+std::string text_of(const LoadReport& r) {
+  std::string out;
+  const auto add = [&](const char* name, const std::optional<double>& v) {
+    char part[64];
+    if (v) std::snprintf(part, sizeof part, "%s%s=%.4g", out.empty() ? "" : " ", name, *v), out += part;
+  };
+  add("held", r.inferences_held), add("waiting", r.waiting), add("memory", r.memory_share),
+      add("tokens", r.tokens_waiting);
+  return out;
+}
+
+}  // namespace calicograde::engines
--- /dev/null
+++ b/src/engines/completions.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/prompt.hpp"
+#include "core/types.hpp"
+
+// The chat-completions shape that engines publish for disaggregated serving (kv_transfer_params), and the
+// small extension of docs/front.md for what has no public call. Free of I/O.
+namespace calicograde::engines {
+
+enum class Leg { Read, Write, Whole };  // Whole: one engine reads and writes
+
+// A body to POST to /v1/chat/completions. `state`: the kv_transfer_params that the read answered with, as
+// JSON.
+std::string ask_body(Leg leg, const std::string& model, const Prompt& prompt, const std::string& state,
+                     const std::string& place);
+
+struct ReadAnswer {
+  std::string state;  // kv_transfer_params, as JSON
+  Usage usage;
+};
+// None if it is no answer to a read.
+std::optional<ReadAnswer> parse_read(std::string_view body);
+
+struct Chunk {
+  std::string text;
+  std::string finish;  // empty until the answer has ended
+  std::string stop;    // the stop sequence that ended it, where told
+  std::optional<Usage> usage;
+  bool done = false;  // [DONE]
+};
+std::optional<Chunk> parse_chunk(std::string_view data);
+
+// Everything about how a send went on its socket that its outcome is judged by.
+struct SendFacts {
+  enum class Connect { Connected, Refused, TimedOut, Unreachable, NoDescriptor } connect = Connect::Connected;
+  bool cancelled = false;    // this front called it off
+  bool not_sent = false;     // no thread or no time was left to send it
+  bool any_written = false;  // one byte or more may have reached the engine
+  bool timed_out = false;    // the send's time ended while waiting
+  int status = 0;            // 0 = no answer's head came
+  std::string error_code;    // of the answer's error body
+  bool body_whole = true;    // false: the answer ended early, or broke off
+  bool understood = true;    // false: what came was no answer of the expected shape
+  bool finished = false;     // a stream came to its own end
+};
+struct Judged {
+  EndedAs as = EndedAs::Errored;
+  bool no_state = false;
+  bool refused =
+      false;  // the engine says that the client's own words are at fault: another would say the same
+};
+// The one table of outcomes (docs/front.md). "May have run" is judged on the safe side.
+Judged judge(Leg leg, const SendFacts& facts);
+
+// The error of an engine's answer: its code, or else its type; and its message.
+struct EngineError {
+  std::string code, message;
+};
+EngineError parse_error(std::string_view body);
+
+// The extension's load report, "held=3 waiting=0 memory=0.41 tokens=1200": each part may be left out.
+std::optional<LoadReport> parse_load(std::string_view header);
+std::string text_of(const LoadReport& report);
+
+}  // namespace calicograde::engines
--- /dev/null
+++ b/src/front/cases.cpp
@@ -0,0 +1,245 @@
+#include "front/cases.hpp"
+
+#include <algorithm>
+
+namespace calicograde::front {
+
+using engines::Leg;
+
+bool Cases::Case::any_out() const {
+  return std::any_of(sends.begin(), sends.end(), [](const Sent& s) { return s.out; });
+}
+bool Cases::Case::read_out() const {
+  return std::any_of(sends.begin(), sends.end(), [](const Sent& s) { return s.out && s.leg == Leg::Read; });
+}
+
+Cases::Case* Cases::find(InfId inf) {
+  const auto it = cases_.find(inf);
+  return it == cases_.end() ? nullptr : &it->second;
+}
+
+Stage Cases::stage_of(const EngineId& id) const {
+  const auto it = kinds_.find(id);
+  if (it == kinds_.end() || it->second >= settings_.kinds.size()) return Stage::Both;
+  return settings_.kinds[it->second].stage;
+}
+
+std::optional<EngineId> Cases::engine_of(InfId inf, std::uint8_t send) const {
+  const auto it = cases_.find(inf);
+  if (it == cases_.end() || send >= it->second.sends.size()) return std::nullopt;
+  return it->second.sends[send].engine;
+}
+
+std::size_t Cases::holdings() const {
+  std::size_t n = 0;
+  for (const auto& [inf, c] : cases_) n += c.holdings.size();
+  return n;
+}
+
+std::optional<Event> Cases::take(Instant now, const Arrived& arrived) {
+  Case c;
+  c.what = arrived;
+  c.ends = now + arrived.budget;
+  const auto [it, fresh] = cases_.emplace(arrived.inf, std::move(c));
+  if (!fresh) return std::nullopt;
+  ends_.emplace(it->second.ends, arrived.inf);
+  return arrived;
+}
+
+void Cases::listed(const FleetListed& list) {
+  for (const auto& e : list.entries) kinds_[e.engine] = e.kind;
+}
+
+std::optional<Event> Cases::started(Instant now, InfId inf, std::uint8_t send) {
+  Case* c = find(inf);
+  if (!c || send >= c->sends.size() || !c->sends[send].out) return std::nullopt;
+  Sent& s = c->sends[send];
+  s.started = true;
+  // It may be that the module shed it a moment ago: the stream had reached the client first, and goes on.
+  c->final = Final::Streaming;
+  ends_.erase({c->ends, inf});
+  // The state that it fetched is taken; whatever else is held for the inference goes.
+  std::erase_if(c->holdings, [&](const Holding& h) { return h.awaited_by == send; });
+  release(*c, [](const Holding&) { return true; });
+  return StreamStarted{inf, send, s.engine, now - s.at};
+}
+
+std::optional<Event> Cases::ended(Instant now, InfId inf, std::uint8_t send, const Ending& e) {
+  Case* c = find(inf);
+  if (!c || send >= c->sends.size() || !c->sends[send].out) return std::nullopt;
+  Sent& s = c->sends[send];
+  s.out = false;
+  if (proves_unrun(e.as) || s.leg == Leg::Read) s.ran = false;
+  // A stream's end, good or bad, is its inference's: what broke is lost. So is a refusal of the client's own
+  // words.
+  const bool over = s.started || e.answered || c->final != Final::None;
+  if (over && c->final == Final::None) ends_.erase({c->ends, inf});
+  if (over) c->final = Final::Given;
+  for (auto& h : c->holdings)
+    if (h.awaited_by == send) h.awaited_by.reset();
+  if (e.as == EndedAs::ReadDone) {
+    c->holdings.push_back({s.engine, s.name, e.state, false});
+  } else if (s.leg == Leg::Read) {
+    // It may have been read all the same, with the answer lost on the way: let go by name where that can be
+    // said.
+    if (!proves_unrun(e.as)) c->holdings.push_back({s.engine, s.name, {}, false});
+    release(*c, [&](const Holding& h) { return h.name == s.name; });
+  } else if (e.no_state || e.as == EndedAs::Completed) {
+    std::erase_if(c->holdings, [](const Holding& h) { return !h.place && !h.params.empty(); });
+  }
+  // A place at the engine that failed or refused is not relied on any more.
+  if (s.leg != Leg::Read && e.as != EndedAs::Completed)
+    release(*c, [&](const Holding& h) { return h.place && h.engine == s.engine; });
+  const SendEnded event{inf, send, s.engine, e.as, now - s.at, over, e.kept_tokens, e.no_state, e.report};
+  if (over) settle(inf);
+  return event;
+}
+
+std::optional<Event> Cases::place_answered(InfId inf, const EngineId& engine, const std::string& name,
+                                           bool held) {
+  Case* c = find(inf);
+  const auto current = [&](const Holding& h) { return h.name == name; };
+  if (!c || std::none_of(c->holdings.begin(), c->holdings.end(), current)) {
+    // It was let go before the engine had granted it: the release may have come first, so it is sent once
+    // more.
+    if (held) let_go(engine, name);
+    return std::nullopt;
+  }
+  if (!held) std::erase_if(c->holdings, current);
+  if (!c->read_out() || c->final != Final::None) return std::nullopt;
+  std::uint8_t read = 0;
+  for (std::size_t k = 0; k < c->sends.size(); ++k)
+    if (c->sends[k].out && c->sends[k].leg == Leg::Read) read = static_cast<std::uint8_t>(k);
+  return PlaceAnswered{inf, read, engine, held};
+}
+
+std::optional<Event> Cases::client_left(InfId inf) {
+  Case* c = find(inf);
+  if (!c || c->final == Final::Given) return std::nullopt;
+  ends_.erase({c->ends, inf});
+  // A stream still has its own outcome to come; the rest is over now.
+  if (c->final == Final::None) c->final = Final::Given;
+  return ClientLeft{inf};
+}
+
+void Cases::obey(Instant now, const std::vector<Action>& actions, std::vector<Event>& events) {
+  for (const Action& a : actions) std::visit([&](const auto& x) { act(now, x, events); }, a);
+  // Those whose final answer is given and that have nothing out are done.
+  for (const Action& a : actions) {
+    if (const auto* x = std::get_if<LetGo>(&a)) settle(x->inf);
+    if (const auto* x = std::get_if<Shed>(&a)) settle(x->inf);
+    if (const auto* x = std::get_if<Fail>(&a)) settle(x->inf);
+  }
+}
+
+void Cases::act(Instant now, const SendTo& a, std::vector<Event>& events) {
+  Case* c = find(a.inf);
+  if (!c) return;
+  const auto number = static_cast<std::uint8_t>(c->sends.size());
+  Sent s{a.engine, Leg::Whole, now, true, false, true, {}};
+  s.name = name_ + "." + std::to_string(a.inf) + "." + std::to_string(number);
+  // Rule 1 against a module that forgot: nothing is sent after the final answer.
+  const bool moot = c->final != Final::None || now >= c->ends || c->sends.size() >= 255;
+  StartSend order{a.inf, number, a.engine, Leg::Whole, c->ends, s.name, {}, {}};
+  if (a.time_out > Span{}) order.until = std::min(order.until, now + a.time_out);
+  if (stage_of(a.engine) == Stage::Read) {
+    s.leg = Leg::Read;
+  } else if (!moot) {
+    for (auto& h : c->holdings) {
+      if (h.place && h.engine == a.engine) order.place = h.name, h.awaited_by = number;
+      // The state read last is the one that waits.
+      if (!h.place && !h.params.empty()) order.state = h.params;
+    }
+    for (auto& h : c->holdings)
+      if (!h.place && h.params == order.state && !h.params.empty()) h.awaited_by = number;
+    if (!order.state.empty()) s.leg = Leg::Write;
+    release(*c, [&](const Holding& h) { return h.place && h.engine != a.engine; });
+  }
+  order.leg = s.leg;
+  if (moot) s.out = false, s.ran = false;
+  c->sends.push_back(std::move(s));
+  if (moot)
+    events.push_back(
+        SendEnded{a.inf, number, a.engine, EndedAs::Moot, Span{}, c->final != Final::None, 0, false, {}});
+  else orders_.push_back(std::move(order));
+}
+
+void Cases::act(Instant, const HoldPlace& a, std::vector<Event>&) {
+  Case* c = find(a.inf);
+  if (!c || c->final != Final::None) return;
+  release(*c, [](const Holding& h) { return h.place; });  // one place an inference
+  const std::string name = name_ + "." + std::to_string(a.inf) + ".p" + std::to_string(c->places++);
+  c->holdings.push_back({a.engine, name, {}, true});
+  orders_.push_back(AskPlace{a.inf, a.engine, name});
+}
+
+void Cases::act(Instant, const LetGo& a, std::vector<Event>&) {
+  if (Case* c = find(a.inf)) release(*c, [](const Holding& h) { return !h.awaited_by; });
+}
+
+void Cases::act(Instant, const CancelSend& a, std::vector<Event>&) {
+  Case* c = find(a.inf);
+  if (c && a.send < c->sends.size() && c->sends[a.send].out && !c->sends[a.send].started)
+    orders_.push_back(StopSend{a.inf, a.send});
+}
+
+void Cases::answer(Case& c, bool shed, Span retry_after) {
+  if (c.final != Final::None) return;
+  c.final = Final::Given;
+  ends_.erase({c.ends, c.what.inf});
+  const bool ran =
+      std::any_of(c.sends.begin(), c.sends.end(), [](const Sent& s) { return s.ran && s.leg != Leg::Read; });
+  orders_.push_back(Answer{c.what.inf, shed, retry_after, !shed && ran});
+}
+void Cases::act(Instant, const Shed& a, std::vector<Event>&) {
+  if (Case* c = find(a.inf)) answer(*c, true, a.retry_after);
+}
+void Cases::act(Instant, const Fail& a, std::vector<Event>&) {
+  if (Case* c = find(a.inf)) answer(*c, false, Span{});
+}
+void Cases::act(Instant, const SetTimer& a, std::vector<Event>&) {
+  orders_.push_back(ArmTimer{a.in, a.token});
+}
+void Cases::act(Instant, const CloseLinks& a, std::vector<Event>&) { orders_.push_back(DropLinks{a.engine}); }
+void Cases::act(Instant, const Log& a, std::vector<Event>&) { orders_.push_back(Line{a.text}); }
+
+void Cases::let_go(const EngineId& engine, const std::string& name) {
+  const auto kind = kinds_.find(engine);
+  if (kind != kinds_.end() && kind->second < release_.size() && release_[kind->second])
+    orders_.push_back(Release{engine, name});
+}
+
+template <class Which>
+void Cases::release(Case& c, Which which) {
+  for (const Holding& h : c.holdings)
+    if (which(h)) let_go(h.engine, h.name);
+  std::erase_if(c.holdings, which);
+}
+
+// The end of a case: the final answer is given and nothing is out. What is still held then is let go,
+// whatever the module remembered of it (guards rule 5 against what only the sockets know of).
+void Cases::settle(InfId inf) {
+  Case* c = find(inf);
+  if (!c || c->final != Final::Given || c->any_out()) return;
+  release(*c, [](const Holding&) { return true; });
+  cases_.erase(inf);
+}
+
+void Cases::overdue(Instant now, std::vector<Event>& events) {
+  while (!ends_.empty() && ends_.begin()->first <= now) {
+    const InfId inf = ends_.begin()->second;
+    Case& c = cases_.at(inf);
+    answer(c, false, Span{});
+    for (std::size_t k = 0; k < c.sends.size(); ++k)
+      if (c.sends[k].out) orders_.push_back(StopSend{inf, static_cast<std::uint8_t>(k)});
+    release(c, [](const Holding& h) { return !h.awaited_by; });
+    events.push_back(ClientLeft{inf});
+    settle(inf);
+  }
+}
+
+std::optional<Instant> Cases::next_end() const {
+  return ends_.empty() ? std::nullopt : std::optional(ends_.begin()->first);
+}
+
+}  // namespace calicograde::front
--- /dev/null
+++ b/src/front/cases.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/types.hpp"
+#include "engines/completions.hpp"
+
+// The inferences that a front has taken, between the module, which decides, and the sockets, where things
+// happen. It turns the module's actions into orders for the sockets and what the sockets report into events
+// for the module, and it sees to it that each inference gets one final answer, that each send has one
+// outcome, and that every state and place that some engine holds for an inference is taken or let go. Free of
+// I/O, clocks and threads.
+namespace calicograde::front {
+
+struct StartSend {
+  InfId inf = 0;
+  std::uint8_t send = 0;
+  EngineId engine;
+  engines::Leg leg = engines::Leg::Read;
+  Instant until;      // its time-out, at the latest the end of the client's budget
+  std::string name;   // of this send, told to the engine; what it holds is let go by this name
+  std::string state;  // kv_transfer_params to fetch by; empty unless the leg is Write
+  std::string place;  // held ahead at this engine, empty if none
+};
+struct StopSend {
+  InfId inf = 0;
+  std::uint8_t send = 0;
+};
+struct AskPlace {
+  InfId inf = 0;
+  EngineId engine;
+  std::string name;
+};
+struct Release {
+  EngineId engine;
+  std::string name;
+};
+struct Answer {
+  InfId inf = 0;
+  bool shed = false;
+  Span retry_after;
+  bool outcome_unknown = false;  // errored, and a send may have run
+};
+struct ArmTimer {
+  Span in;
+  std::uint64_t token = 0;
+};
+struct DropLinks {
+  EngineId engine;
+};
+struct Line {
+  std::string text;
+};
+using Order = std::variant<StartSend, StopSend, AskPlace, Release, Answer, ArmTimer, DropLinks, Line>;
+
+// How a send ended on its socket.
+struct Ending {
+  EndedAs as = EndedAs::Errored;
+  bool no_state = false;
+  bool answered = false;  // the client has had its final answer from this send
+  std::string state;      // of a read that is done
+  std::uint32_t kept_tokens = 0;
+  std::optional<LoadReport> report;
+};
+
+class Cases {
+ public:
+  // `name`: of this front and this start of it, so that no two starts give a send the same name.
+  Cases(std::string name, const Settings& settings) : name_(std::move(name)), settings_(settings) {}
+
+  // What an engine's kind offers, by the kind's number: release of states and places by name.
+  void offers(std::vector<bool> release) { release_ = std::move(release); }
+
+  // Each takes what happened, and gives the event to hand to the module; none where it need not know.
+  std::optional<Event> take(Instant now, const Arrived& arrived);
+  std::optional<Event> started(Instant now, InfId inf, std::uint8_t send);
+  std::optional<Event> ended(Instant now, InfId inf, std::uint8_t send, const Ending& ending);
+  std::optional<Event> place_answered(InfId inf, const EngineId& engine, const std::string& name, bool held);
+  std::optional<Event> client_left(InfId inf);
+  void listed(const FleetListed& list);
+
+  // Carries out what the module returned; events that follow at once are appended to `events`.
+  void obey(Instant now, const std::vector<Action>& actions, std::vector<Event>& events);
+  // Inferences that the module has not answered though their budget ends now: answered here (guards rule 1
+  // against a fault in the module or a queue that stood still). They are the module's no more.
+  void overdue(Instant now, std::vector<Event>& events);
+  std::optional<Instant> next_end() const;
+
+  // Once the module has heard of an end: drops the case if nothing of it is left.
+  void tidy(InfId inf) { settle(inf); }
+
+  // Orders that have come up, in order.
+  std::vector<Order> take_orders() { return std::exchange(orders_, {}); }
+  std::size_t open() const { return cases_.size(); }
+  std::optional<EngineId> engine_of(InfId inf, std::uint8_t send) const;
+  bool has(InfId inf) const { return cases_.contains(inf); }
+  std::size_t holdings() const;
+
+ private:
+  struct Holding {
+    EngineId engine;
+    std::string name, params;
+    bool place = false;
+    std::optional<std::uint8_t> awaited_by = {};  // the send that takes it
+  };
+  struct Sent {
+    EngineId engine;
+    engines::Leg leg = engines::Leg::Read;
+    Instant at;
+    bool out = true, started = false, ran = true;
+    std::string name;
+  };
+  enum class Final { None, Streaming, Given };
+  struct Case {
+    Arrived what;
+    Instant ends;
+    Final final = Final::None;
+    std::vector<Sent> sends;
+    std::vector<Holding> holdings;
+    int places = 0;
+    bool any_out() const;
+    bool read_out() const;
+  };
+
+  void act(Instant now, const SendTo& a, std::vector<Event>& events);
+  void act(Instant now, const HoldPlace& a, std::vector<Event>& events);
+  void act(Instant now, const LetGo& a, std::vector<Event>& events);
+  void act(Instant now, const CancelSend& a, std::vector<Event>& events);
+  void act(Instant now, const Shed& a, std::vector<Event>& events);
+  void act(Instant now, const Fail& a, std::vector<Event>& events);
+  void act(Instant now, const SetTimer& a, std::vector<Event>& events);
+  void act(Instant now, const CloseLinks& a, std::vector<Event>& events);
+  void act(Instant now, const Log& a, std::vector<Event>& events);
+  template <class A>
+  void act(Instant, const A&, std::vector<Event>&) {}  // Probe, MoveStream, Subscribe, FetchList, TellPeer
+
+  Case* find(InfId inf);
+  void answer(Case& c, bool shed, Span retry_after);
+  void let_go(const EngineId& engine, const std::string& name);
+  template <class Which>
+  void release(Case& c, Which which);
+  void settle(InfId inf);
+  Stage stage_of(const EngineId& id) const;
+
+  std::string name_;
+  const Settings settings_;
+  std::vector<bool> release_;
+  std::map<EngineId, std::uint8_t> kinds_;
+  std::map<InfId, Case> cases_;
+  std::set<std::pair<Instant, InfId>> ends_;  // of those without a final answer
+  std::vector<Order> orders_;
+};
+
+}  // namespace calicograde::front
--- /dev/null
+++ b/src/front/core.cpp
@@ -0,0 +1,793 @@
+#include "front/core.hpp"
+
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <queue>
+#include <random>
+#include <thread>
+
+#include "front/bounded_queue.hpp"
+#include "front/cases.hpp"
+#include "front/links.hpp"
+#include "front/workers.hpp"
+#include "net/clock.hpp"
+#include "net/thread.hpp"
+#include "roster/roster.hpp"
+#include "routing/router.hpp"
+
+namespace calicograde::front {
+namespace {
+
+using engines::Leg;
+using engines::SendFacts;
+using http::BodyEnd;
+using log::Level;
+using net::clock_now;
+
+constexpr std::size_t answer_bytes = 1 << 20;   // of an engine's answer to a read, or of its error
+constexpr std::size_t roster_bytes = 16 << 20;  // of one document
+constexpr Span roster_silence = Span::millis(30000);
+constexpr std::size_t errand_threads = 64, errands_waiting = 65536;
+
+std::string name_of(const net::Address& a) { return net::text_of(a); }
+
+const char* word(EndedAs as) {
+  switch (as) {
+    case EndedAs::Completed: return "completed";
+    case EndedAs::Errored: return "errored";
+    case EndedAs::Full: return "full";
+    case EndedAs::TimedOut: return "timed out";
+    case EndedAs::ConnectFailed: return "connect failed";
+    case EndedAs::Reset: return "reset";
+    case EndedAs::Cancelled: return "cancelled";
+    case EndedAs::Moot: return "moot";
+    case EndedAs::ReadDone: return "read done";
+  }
+  return "?";
+}
+
+// Whether a send is to stop, and the socket on which it waits. Shared by the send's thread and the modules'
+// owner.
+class SendControl {
+ public:
+  void stop() {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+    if (stream_) stream_->shut();
+  }
+  bool attach(const net::Stream& stream) {
+    const std::lock_guard lock(mutex_);
+    if (!stopped_) stream_ = &stream;
+    return !stopped_;
+  }
+  // From here on a stop changes nothing. False if it was stopped before.
+  bool detach() {
+    const std::lock_guard lock(mutex_);
+    stream_ = nullptr;
+    return !stopped_;
+  }
+  bool stopped() const {
+    const std::lock_guard lock(mutex_);
+    return stopped_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  const net::Stream* stream_ = nullptr;
+  bool stopped_ = false;
+};
+
+// Addresses of the engines of one pool, literal; written by the roster's follower, read by the sends.
+class AddressBook {
+ public:
+  void set(const EngineId& id, const net::Address& a) {
+    const std::lock_guard lock(mutex_);
+    book_[id] = a;
+  }
+  std::optional<net::Address> find(const EngineId& id) const {
+    const std::lock_guard lock(mutex_);
+    const auto it = book_.find(id);
+    return it == book_.end() ? std::nullopt : std::optional(it->second);
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<EngineId, net::Address> book_;
+};
+
+struct Taken {
+  std::shared_ptr<Ticket> ticket;
+  Arrived what;
+};
+struct Started {
+  InfId inf;
+  std::uint8_t send;
+};
+struct Ended {
+  InfId inf;
+  std::uint8_t send;
+  Ending ending;
+};
+struct PlaceSaid {
+  InfId inf;
+  EngineId engine;
+  std::string name;
+  bool held;
+};
+struct Gone {
+  InfId inf;
+};
+struct Heard {
+  FleetListed list;
+};
+struct Report {
+  std::size_t pool = 0;
+  std::variant<Taken, Started, Ended, PlaceSaid, Gone, Heard> what;
+};
+
+}  // namespace
+
+EngineStream::EngineStream(http::ClientConnection link, http::EventReader events,
+                           std::vector<http::ServerEvent> ready, net::Address engine, Usage usage)
+    : link_(std::move(link)),
+      events_(std::move(events)),
+      ready_(std::move(ready)),
+      engine_(std::move(engine)),
+      usage_(usage) {}
+
+EngineStream::Next EngineStream::next(engines::Chunk& out, Instant deadline, int client_fd) {
+  link_.stream().watch(client_fd);
+  for (;;) {
+    while (at_ < ready_.size()) {
+      auto chunk = engines::parse_chunk(ready_[at_++].data);
+      if (!chunk) return Next::Garbage;
+      if (chunk->usage) {
+        const double kept = std::max(usage_.kept_tokens, chunk->usage->kept_tokens);
+        usage_ = *chunk->usage, usage_.kept_tokens = std::min(kept, usage_.prompt_tokens);
+      }
+      if (chunk->done) finished_ = true;
+      if (chunk->text.empty() && chunk->finish.empty()) continue;
+      out = std::move(*chunk);
+      return Next::Chunk;
+    }
+    ready_.clear(), at_ = 0;
+    if (body_done_) return finished_ ? Next::Finished : Next::Broken;
+    std::string bytes;
+    const BodyEnd end = link_.read_body(bytes, deadline);
+    if (!events_.feed(bytes, ready_)) return Next::Garbage;
+    if (end == BodyEnd::Done) body_done_ = true;
+    if (end == BodyEnd::Broken) return Next::Broken;
+    if (end == BodyEnd::Aborted) return Next::ClientLeft;
+    if (end == BodyEnd::TimedOut) return Next::Silent;
+  }
+}
+
+std::variant<std::monostate, Final, std::unique_ptr<EngineStream>> Ticket::take() {
+  const std::lock_guard lock(mutex_);
+  if (stream_) {
+    wake_.reset();
+    return std::move(stream_);
+  }
+  if (final_) return *std::exchange(final_, {});
+  return std::monostate{};
+}
+
+bool Ticket::leave() {
+  const std::lock_guard lock(mutex_);
+  left_ = true;
+  return claim_.leave();
+}
+
+std::uint8_t Ticket::streaming_send() const {
+  const std::lock_guard lock(mutex_);
+  return claim_.send().value_or(0);
+}
+
+bool Ticket::claim_stream(std::uint8_t send) {
+  const std::lock_guard lock(mutex_);
+  return claim_.stream(send);
+}
+
+bool Ticket::deliver(std::unique_ptr<EngineStream>& stream) {
+  const std::lock_guard lock(mutex_);
+  if (left_) return false;
+  stream_ = std::move(stream);
+  wake_->raise();
+  return true;
+}
+
+bool Ticket::answer(const Final& final) {
+  const std::lock_guard lock(mutex_);
+  if (!claim_.answer()) return false;
+  final_ = final;
+  wake_->raise();
+  return true;
+}
+
+void Ticket::learn(const Usage& usage) {
+  const std::lock_guard lock(mutex_);
+  usage_ = usage, usage_.answer_tokens = 0;
+}
+
+Usage Ticket::usage() const {
+  const std::lock_guard lock(mutex_);
+  return usage_;
+}
+
+struct Core::Inside {
+  struct Open {
+    std::shared_ptr<Ticket> ticket;
+    std::map<std::uint8_t, std::shared_ptr<SendControl>> sends;
+  };
+  struct PoolParts {
+    PoolParts(const settings::Pool& p, const std::string& name, std::uint64_t seed,
+              const std::vector<std::string>& zones)
+        : settings(p),
+          router(seed, p.routing),
+          cases(name, p.routing),
+          links(p.routing.link_idle, 256),
+          follower(kinds(p), zones) {
+      std::vector<bool> release;
+      for (const auto& k : p.kinds) release.push_back(k.release);
+      cases.offers(release);
+    }
+    static std::vector<std::string> kinds(const settings::Pool& p) {
+      std::vector<std::string> out;
+      for (const auto& k : p.kinds) out.push_back(k.name);
+      return out;
+    }
+    const settings::Pool& settings;
+    Router router;  // the owner's alone, as the next four
+    Cases cases;
+    std::map<InfId, Open> open;
+    std::multimap<Instant, std::uint64_t> timers;
+    AddressBook book;
+    Links links;
+    roster::Follower follower;  // the follower's thread's alone
+    std::atomic<bool> heard = false;
+  };
+
+  Inside(Core& core_ref, const settings::Front& s)
+      : core(core_ref),
+        settings(s),
+        queue(s.queue),
+        workers(s.sends, s.stack),
+        errands(errand_threads, s.stack, errands_waiting) {
+    std::random_device chance;
+    char stamp[32];
+    std::snprintf(stamp, sizeof stamp, "%08x", chance());
+    const std::uint64_t seed = s.seed != 0 ? s.seed : (std::uint64_t{chance()} << 32 | chance());
+    for (std::size_t k = 0; k < s.pools.size(); ++k)
+      pools.push_back(std::make_unique<PoolParts>(s.pools[k], s.name + "." + stamp + "." + std::to_string(k),
+                                                  seed + k, s.zones));
+  }
+
+  // ---- the owner of the modules
+  // -------------------------------------------------------------------------------
+  void own() {
+    while (!stopping) {
+      std::optional<Instant> next = clock_now() + Span::millis(500);
+      for (const auto& p : pools) {
+        if (!p->timers.empty()) next = std::min(*next, p->timers.begin()->first);
+        if (const auto end = p->cases.next_end()) next = std::min(*next, *end);
+      }
+      for (Report& r : queue.take(*next - clock_now())) take(*pools[r.pool], r);
+      const Instant now = clock_now();
+      for (const auto& p : pools) {
+        while (!p->timers.empty() && p->timers.begin()->first <= now) {
+          const std::uint64_t token = p->timers.begin()->second;
+          p->timers.erase(p->timers.begin());
+          feed(*p, now, TimerFired{token});
+        }
+        std::vector<Event> events;
+        p->cases.overdue(now, events);
+        for (const Event& e : events) feed(*p, now, e);
+        carry_out(*p);
+      }
+    }
+    owner_done = true;
+  }
+
+  void take(PoolParts& p, Report& r) {
+    const Instant now = clock_now();
+    std::optional<Event> event;
+    std::optional<InfId> about;
+    if (auto* t = std::get_if<Taken>(&r.what)) {
+      t->what.budget = std::max(Span::micros(1), t->ticket->asked().ends - now);
+      event = p.cases.take(now, t->what);
+      if (event) p.open[t->what.inf].ticket = std::move(t->ticket);
+      else t->ticket->answer({Final::How::Shed, Span{}, false, 0, {}});
+    } else if (auto* s = std::get_if<Started>(&r.what)) {
+      event = p.cases.started(now, s->inf, s->send);
+    } else if (auto* e = std::get_if<Ended>(&r.what)) {
+      log_end(p, *e);
+      event = p.cases.ended(now, e->inf, e->send, e->ending);
+      about = e->inf;
+    } else if (auto* l = std::get_if<PlaceSaid>(&r.what)) {
+      event = p.cases.place_answered(l->inf, l->engine, l->name, l->held);
+    } else if (auto* g = std::get_if<Gone>(&r.what)) {
+      event = p.cases.client_left(g->inf);
+      about = g->inf;
+    } else if (auto* h = std::get_if<Heard>(&r.what)) {
+      p.cases.listed(h->list);
+      event = h->list;
+    }
+    if (event) feed(p, now, *event);
+    else carry_out(p);
+    if (!about) return;
+    p.cases.tidy(*about);
+    carry_out(p);
+    if (!p.cases.has(*about)) p.open.erase(*about);
+  }
+
+  void feed(PoolParts& p, Instant now, const Event& first) {
+    std::deque<Event> events{first};
+    // What the module does may have an answer at once (a send that is moot); a bound, should it never settle.
+    for (int steps = 0; !events.empty() && steps < 1000; ++steps) {
+      const Event e = std::move(events.front());
+      events.pop_front();
+      std::vector<Event> more;
+      try {
+        p.cases.obey(now, p.router.handle(now, e), more);
+      } catch (const std::exception& problem) {
+        core.log_.line(Level::Error, "module failed", {{"what", problem.what()}});
+      }
+      for (auto& m : more) events.push_back(std::move(m));
+      carry_out(p, &events, now);
+    }
+  }
+
+  void carry_out(PoolParts& p, std::deque<Event>* events = nullptr, Instant now = clock_now()) {
+    for (Order& order : p.cases.take_orders()) {
+      if (auto* s = std::get_if<StartSend>(&order)) {
+        if (!start_send(p, *s))
+          if (auto e =
+                  p.cases.ended(now, s->inf, s->send, Ending{.as = EndedAs::Moot, .state = {}, .report = {}});
+              e && events)
+            events->push_back(*e);
+      } else if (const auto* x = std::get_if<StopSend>(&order)) {
+        if (const auto it = p.open.find(x->inf); it != p.open.end())
+          if (const auto send = it->second.sends.find(x->send); send != it->second.sends.end())
+            send->second->stop();
+      } else if (auto* a = std::get_if<AskPlace>(&order)) {
+        if (!ask_place(p, *a))
+          if (auto e = p.cases.place_answered(a->inf, a->engine, a->name, false); e && events)
+            events->push_back(*e);
+      } else if (const auto* l = std::get_if<Release>(&order)) {
+        release(p, *l);
+      } else if (const auto* f = std::get_if<Answer>(&order)) {
+        const auto it = p.open.find(f->inf);
+        if (it == p.open.end()) continue;
+        it->second.ticket->answer(
+            {f->shed ? Final::How::Shed : Final::How::Errored, f->retry_after, f->outcome_unknown, 0, {}});
+        if (!p.cases.has(f->inf)) p.open.erase(it);
+      } else if (const auto* t = std::get_if<ArmTimer>(&order)) {
+        p.timers.emplace(now + t->in, t->token);
+      } else if (const auto* d = std::get_if<DropLinks>(&order)) {
+        if (const auto at = p.book.find(d->engine)) p.links.drop(*at);
+      } else if (const auto* line = std::get_if<Line>(&order)) {
+        core.log_.line(Level::Info, "mode", {{"pool", p.settings.name}, {"what", line->text}});
+      }
+    }
+  }
+
+  void log_end(PoolParts& p, const Ended& e) {
+    const bool usual = e.ending.as == EndedAs::Completed || e.ending.as == EndedAs::ReadDone;
+    const Level level = usual ? Level::Debug : Level::Info;
+    if (!core.log_.shows(level)) return;
+    const auto engine = p.cases.engine_of(e.inf, e.send);
+    const auto at = engine ? p.book.find(*engine) : std::nullopt;
+    core.log_.line(level, "send ended",
+                   {{"inference", std::int64_t{e.inf}},
+                    {"send", std::int64_t{e.send}},
+                    {"engine", at ? std::string_view(name_of(*at)) : "?"},
+                    {"reason", word(e.ending.as)},
+                    {"no_state", std::int64_t{e.ending.no_state}}});
+  }
+
+  // ---- sends
+  // --------------------------------------------------------------------------------------------------
+  bool start_send(PoolParts& p, const StartSend& s) {
+    const auto it = p.open.find(s.inf);
+    if (it == p.open.end()) return false;
+    auto control = std::make_shared<SendControl>();
+    const auto index = pool_index(p);
+    const bool begun = workers.submit([this, &p, index, s, ticket = it->second.ticket, control] {
+      Ending ending;
+      if (run_send(p, s, *ticket, *control, ending)) return;  // the client's thread ends it
+      queue.put({index, Ended{s.inf, s.send, std::move(ending)}});
+    });
+    if (begun) it->second.sends[s.send] = control;
+    return begun;
+  }
+
+  std::size_t pool_index(const PoolParts& p) const {
+    for (std::size_t k = 0; k < pools.size(); ++k)
+      if (pools[k].get() == &p) return k;
+    return 0;
+  }
+
+  std::optional<http::ClientConnection> link_to(PoolParts& p, const net::Address& at, Instant until,
+                                                SendFacts& facts) {
+    if (auto kept = p.links.take(at)) return kept;
+    auto [how, stream] = net::Stream::connect(at, std::min(until, clock_now() + p.settings.connect));
+    using N = net::ConnectEnd;
+    using C = SendFacts::Connect;
+    facts.connect = how == N::Connected      ? C::Connected
+                    : how == N::Refused      ? C::Refused
+                    : how == N::TimedOut     ? C::TimedOut
+                    : how == N::NoDescriptor ? C::NoDescriptor
+                                             : C::Unreachable;
+    if (how != N::Connected) return std::nullopt;
+    return http::ClientConnection(std::move(stream));
+  }
+
+  http::Headers headers_for(const std::string& name, const Asked* asked) const {
+    http::Headers h{{"host", settings.name}, {"content-type", "application/json"}, {"x-request-id", name}};
+    if (asked && !asked->dedupe_key.empty()) h.emplace_back("idempotency-key", asked->dedupe_key);
+    return h;
+  }
+
+  // True: the answer has begun and is the client's thread's now. Else `ending` tells how it ended.
+  bool run_send(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control, Ending& ending) {
+    SendFacts facts;
+    bool handed_over = false;
+    const auto at = p.book.find(s.engine);
+    if (!at) facts.connect = SendFacts::Connect::Unreachable;
+    else if (clock_now() >= s.until || control.stopped())
+      facts.not_sent = !control.stopped(), facts.cancelled = control.stopped();
+    else if (auto link = link_to(p, *at, s.until, facts))
+      handed_over = talk(p, s, ticket, control, *at, *link, facts, ending);
+    if (handed_over) return true;
+    facts.cancelled |= control.stopped();
+    control.detach();
+    const auto judged = engines::judge(s.leg, facts);
+    ending.as = judged.as, ending.no_state = judged.no_state;
+    if (judged.refused)
+      ending.answered = ticket.answer({Final::How::Refused, Span{}, false, facts.status, refusal_of(ending)});
+    return false;
+  }
+
+  static std::string refusal_of(Ending& e) { return std::exchange(e.state, {}); }
+
+  bool talk(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control, const net::Address& at,
+            http::ClientConnection& link, SendFacts& facts, Ending& ending) {
+    if (!control.attach(link.stream())) return false;
+    const Asked& asked = ticket.asked();
+    const auto& route = settings.routes[asked.route];
+    const std::string body =
+        engines::ask_body(s.leg, route.engine_model.empty() ? route.model : route.engine_model, *asked.prompt,
+                          s.state, s.place);
+    const auto before = link.stream().bytes_written();
+    const bool asked_whole =
+        link.ask("POST", "/v1/chat/completions", headers_for(s.name, &asked), body, s.until);
+    facts.any_written = link.stream().bytes_written() > before;
+    if (!asked_whole && clock_now() >= s.until) facts.timed_out = true;
+    if (!asked_whole) return false;
+    http::Response head;
+    BodyEnd end = link.read_head(head, s.until);
+    if (end != BodyEnd::Done) return facts.timed_out = end == BodyEnd::TimedOut, false;
+    facts.status = head.status;
+    if (const auto load = http::header(head.headers, "x-calicograde-load"); !load.empty())
+      ending.report = engines::parse_load(load);
+    if (head.status != 200 || s.leg == Leg::Read) {
+      std::string text;
+      end = link.read_whole(text, s.until, answer_bytes);
+      facts.body_whole = end == BodyEnd::Done,
+      facts.timed_out = end == BodyEnd::TimedOut && head.status == 200;
+      if (head.status != 200) {
+        const auto error = engines::parse_error(text);
+        facts.error_code = error.code, ending.state = error.message;
+      } else if (facts.body_whole) {
+        take_read(ticket, text, facts, ending);
+      }
+      const bool kept = control.detach() && end == BodyEnd::Done;
+      if (kept) p.links.give_back(at, std::move(link));
+      return false;
+    }
+    return begin_stream(p, s, ticket, control, at, link, facts);
+  }
+
+  void take_read(Ticket& ticket, const std::string& text, SendFacts& facts, Ending& ending) {
+    const auto answer = engines::parse_read(text);
+    facts.understood = answer.has_value();
+    if (!answer) return;
+    ending.state = answer->state;
+    ending.kept_tokens = static_cast<std::uint32_t>(std::min(answer->usage.kept_tokens, 4e9));
+    ticket.learn(answer->usage);
+    const std::lock_guard lock(meter_mutex);
+    meter.learn(settings.routes[ticket.asked().route].name, ticket.asked().prompt_bytes,
+                answer->usage.prompt_tokens);
+  }
+
+  bool begin_stream(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control,
+                    const net::Address& at, http::ClientConnection& link, SendFacts& facts) {
+    http::EventReader events;
+    std::vector<http::ServerEvent> ready;
+    Usage usage = ticket.usage();
+    bool begun = false;
+    while (!begun) {
+      std::string bytes;
+      const BodyEnd end = link.read_body(bytes, s.until);
+      facts.understood = events.feed(bytes, ready);
+      for (const auto& e : ready) {
+        const auto chunk = engines::parse_chunk(e.data);
+        facts.understood = facts.understood && chunk;
+        if (!facts.understood) return false;
+        begun |= !chunk->text.empty() || !chunk->finish.empty();
+      }
+      if (begun) break;
+      if (end == BodyEnd::TimedOut) return facts.timed_out = true, false;
+      if (end != BodyEnd::More) return facts.body_whole = false, false;
+    }
+    // From here on no cancel touches it: the stream is the client's if nobody else has spoken.
+    if (!control.detach()) return facts.cancelled = true, false;
+    if (!ticket.claim_stream(s.send)) return facts.cancelled = true, false;
+    queue.put({pool_index(p), Started{s.inf, s.send}});
+    auto stream =
+        std::make_unique<EngineStream>(std::move(link), std::move(events), std::move(ready), at, usage);
+    if (!ticket.deliver(stream)) {
+      facts.cancelled = true;
+      return false;
+    }
+    return true;
+  }
+
+  // ---- the extension: places and releases
+  // --------------------------------------------------------------------- One short question to an engine;
+  // the body of its answer, or none.
+  std::optional<std::string> short_ask(PoolParts& p, const EngineId& engine, const std::string& path,
+                                       const std::string& body, const std::string& name, Span within) {
+    const auto at = p.book.find(engine);
+    SendFacts facts;
+    const Instant until = clock_now() + within;
+    if (!at) return std::nullopt;
+    auto link = link_to(p, *at, until, facts);
+    http::Response head;
+    std::string text;
+    if (!link || !link->ask("POST", path, headers_for(name, nullptr), body, until)) return std::nullopt;
+    if (link->read_head(head, until) != BodyEnd::Done) return std::nullopt;
+    if (link->read_whole(text, until, answer_bytes) != BodyEnd::Done) return std::nullopt;
+    p.links.give_back(*at, std::move(*link));
+    return head.status == 200 ? std::optional(text) : std::nullopt;
+  }
+
+  bool ask_place(PoolParts& p, const AskPlace& a) {
+    const auto it = p.open.find(a.inf);
+    if (it == p.open.end()) return false;
+    const Asked& asked = it->second.ticket->asked();
+    char body[160];
+    std::snprintf(body, sizeof body, "{\"prompt_tokens\":%.0f,\"max_tokens\":%d}", asked.prompt_tokens,
+                  asked.prompt->max_tokens);
+    return errands.submit([this, &p, a, text = std::string(body), index = pool_index(p)] {
+      const auto said =
+          short_ask(p, a.engine, "/calicograde/v1/hold", text, a.name, p.settings.routing.pin_limit);
+      // No answer is told to the module as none: it counts that itself. Whatever was granted unheard is let
+      // go.
+      if (said)
+        queue.put(
+            {index, PlaceSaid{a.inf, a.engine, a.name, said->find("\"held\":true") != std::string::npos}});
+      else release(p, {a.engine, a.name});
+    });
+  }
+
+  void release(PoolParts& p, const Release& r) {
+    // Tried twice: one release lost leaves memory held until the engine's own time for it ends.
+    const auto ask = [this, &p, r] {
+      for (int k = 0; k < 2; ++k)
+        if (short_ask(p, r.engine, "/calicograde/v1/release", "{}", r.name, Span::millis(250))) return;
+    };
+    if (!errands.submit(ask))
+      core.log_.line(Level::Warn, "release not sent", {{"name", r.name}, {"reason", "no thread is free"}});
+  }
+
+  // ---- rosters
+  // ------------------------------------------------------------------------------------------------
+  void hear(std::size_t index, const std::string& text) {
+    PoolParts& p = *pools[index];
+    auto parsed = roster::parse(text);
+    if (const auto* wrong = std::get_if<std::string>(&parsed))
+      return core.log_.line(Level::Error, "roster not understood",
+                            {{"pool", p.settings.name}, {"what", *wrong}});
+    auto followed = p.follower.follow(clock_now(), std::get<roster::Document>(parsed));
+    if (!followed.note.empty())
+      core.log_.line(Level::Warn, "roster", {{"pool", p.settings.name}, {"what", followed.note}});
+    resync[index] = followed.need_full;
+    if (!followed.listed) return;
+    for (const auto& e : followed.listed->entries) {
+      const auto a = net::parse_address(p.follower.address_of(e.engine));
+      if (const auto literal = a ? net::resolve(*a) : std::nullopt) p.book.set(e.engine, *literal);
+      else
+        core.log_.line(Level::Warn, "engine's name has no address",
+                       {{"engine", p.follower.address_of(e.engine)}});
+    }
+    core.log_.line(Level::Info, "roster heard",
+                   {{"pool", p.settings.name},
+                    {"version", static_cast<std::int64_t>(followed.listed->version)},
+                    {"lines", static_cast<std::int64_t>(followed.listed->entries.size())}});
+    queue.put({index, Heard{std::move(*followed.listed)}});
+    p.heard = true;
+  }
+
+  void follow_file(std::size_t index) {
+    const auto& p = pools[index]->settings;
+    std::pair<std::int64_t, std::int64_t> last{-1, -1};
+    while (!stopping) {
+      struct stat st {};
+      if (::stat(p.roster_file.c_str(), &st) != 0) {
+        if (last.first != -2)
+          core.log_.line(Level::Error, "roster file can't be read",
+                         {{"pool", p.name}, {"file", p.roster_file}});
+        last = {-2, 0};
+      } else if (const std::pair<std::int64_t, std::int64_t> now{
+                     st.st_mtim.tv_sec * 1000000000LL + st.st_mtim.tv_nsec,
+                     st.st_size * 31 + static_cast<std::int64_t>(st.st_ino)};
+                 now != last) {
+        last = now;
+        std::vector<settings::Fault> faults;
+        if (const auto text = settings::read_file(p.roster_file, faults)) hear(index, *text);
+      }
+      pause(p.roster_every);
+    }
+  }
+
+  void follow_server(std::size_t index) {
+    const auto& p = pools[index]->settings;
+    bool told = false;
+    while (!stopping) {
+      const auto at = net::resolve(*p.roster_server);
+      auto [how, stream] = at ? net::Stream::connect(*at, clock_now() + Span::millis(1000))
+                              : std::pair{net::ConnectEnd::Unreachable, net::Stream{}};
+      if (how == net::ConnectEnd::Connected) {
+        told = false;
+        http::ClientConnection link(std::move(stream));
+        http::Response head;
+        const Instant until = clock_now() + Span::millis(5000);
+        if (link.ask("GET", "/v1/roster/stream",
+                     {{"host", settings.name}, {"accept", "text/event-stream"}, {"x-front", settings.name}},
+                     "", until) &&
+            link.read_head(head, until) == BodyEnd::Done && head.status == 200)
+          follow_stream(index, link);
+      }
+      // The old list stays. It is said once, not at each try.
+      if (!std::exchange(told, true))
+        core.log_.line(Level::Warn, "roster server lost",
+                       {{"pool", p.name}, {"server", net::text_of(*p.roster_server)}});
+      pause(p.roster_every);
+    }
+  }
+
+  void follow_stream(std::size_t index, http::ClientConnection& link) {
+    http::EventReader events(roster_bytes);
+    Instant last = clock_now();
+    resync[index] = false;
+    while (!stopping && !resync[index]) {
+      std::string bytes;
+      std::vector<http::ServerEvent> ready;
+      const BodyEnd end = link.read_body(bytes, clock_now() + Span::millis(200));
+      if (!bytes.empty()) last = clock_now();
+      if (!events.feed(bytes, ready)) return;
+      for (const auto& e : ready)
+        if (e.event == "roster") hear(index, e.data);
+      if ((end != BodyEnd::More && end != BodyEnd::TimedOut) || clock_now() - last > roster_silence) return;
+    }
+  }
+
+  void pause(Span span) {
+    std::unique_lock lock(pause_mutex);
+    paused.wait_for(lock, std::chrono::microseconds(static_cast<std::int64_t>(span.as_millis() * 1000)),
+                    [&] { return stopping.load(); });
+  }
+
+  Core& core;
+  const settings::Front& settings;
+  std::vector<std::unique_ptr<PoolParts>> pools;
+  BoundedQueue<Report> queue;
+  Workers workers;  // of sends
+  Workers errands;  // places and releases
+  std::atomic<bool> stopping = false, owner_done = false;
+  std::map<std::size_t, std::atomic<bool>> resync;
+  std::mutex pause_mutex, meter_mutex, tickets_mutex;
+  std::condition_variable paused;
+  intake::TokenMeter meter;
+  std::atomic<InfId> next_inf = 1;
+  std::map<InfId, std::weak_ptr<Ticket>> tickets;
+  std::vector<std::thread> threads;
+};
+
+Core::Core(const settings::Front& settings, log::Log& log)
+    : settings_(settings), log_(log), inside_(std::make_unique<Inside>(*this, settings_)) {}
+
+Core::~Core() {
+  inside_->stopping = true;
+  inside_->queue.close();
+  inside_->paused.notify_all();
+  for (auto& t : inside_->threads) t.join();
+  // Sends still out hold on to this core: they end by their own deadlines.
+  for (const Workers* w : {&inside_->workers, &inside_->errands})
+    while (w->idle() < w->count()) usleep(1000);
+}
+
+void Core::start() {
+  for (std::size_t k = 0; k < inside_->pools.size(); ++k) inside_->resync[k] = false;
+  for (std::size_t k = 0; k < inside_->pools.size(); ++k)
+    inside_->threads.emplace_back([this, k] {
+      inside_->pools[k]->settings.roster_server ? inside_->follow_server(k) : inside_->follow_file(k);
+    });
+  inside_->threads.emplace_back([this] { inside_->own(); });
+}
+
+bool Core::wait_for_rosters(Instant deadline) {
+  const auto all = [&] {
+    for (const auto& p : inside_->pools)
+      if (!p->heard) return false;
+    return true;
+  };
+  while (!all() && clock_now() < deadline) usleep(2000);
+  return all();
+}
+
+std::shared_ptr<Ticket> Core::open(Asked asked, std::shared_ptr<const net::Wake> wake) {
+  if (refusing_) return nullptr;
+  const auto& route = settings_.routes[asked.route];
+  const InfId inf = inside_->next_inf++;
+  Arrived a;
+  a.inf = inf, a.route = route.number;
+  a.session = asked.session, a.shared_text = asked.shared_text;
+  a.prompt_tokens = asked.prompt_tokens, a.shared_tokens = asked.shared_tokens;
+  a.max_answer_tokens = asked.prompt->max_tokens;
+  auto ticket = std::make_shared<Ticket>(inf, route.pool, std::move(asked), std::move(wake));
+  {
+    const std::lock_guard lock(inside_->tickets_mutex);
+    if (inside_->tickets.size() >= settings_.held) return nullptr;
+    inside_->tickets[inf] = ticket;
+  }
+  if (inside_->queue.offer({route.pool, Taken{ticket, a}})) return ticket;
+  closed(*ticket);
+  return nullptr;
+}
+
+void Core::left(const Ticket& t) { inside_->queue.put({t.pool(), Gone{t.inf()}}); }
+
+void Core::stream_ended(const Ticket& t, EndedAs as, std::unique_ptr<EngineStream> stream) {
+  if (stream && as == EndedAs::Completed)
+    inside_->pools[t.pool()]->links.give_back(stream->engine(), stream->take_link());
+  stream.reset();
+  inside_->queue.put({t.pool(), Ended{t.inf(), t.streaming_send(),
+                                      Ending{.as = as, .answered = true, .state = {}, .report = {}}}});
+}
+
+void Core::closed(const Ticket& t) {
+  const std::lock_guard lock(inside_->tickets_mutex);
+  inside_->tickets.erase(t.inf());
+}
+
+double Core::estimate_tokens(std::size_t route, std::size_t bytes) const {
+  const std::lock_guard lock(inside_->meter_mutex);
+  return inside_->meter.estimate(settings_.routes[route].name, bytes);
+}
+
+void Core::refuse_new() { refusing_ = true; }
+
+void Core::abort_all() {
+  aborting_ = true;
+  std::vector<std::shared_ptr<Ticket>> open;
+  {
+    const std::lock_guard lock(inside_->tickets_mutex);
+    for (const auto& [inf, weak] : inside_->tickets)
+      if (auto t = weak.lock()) open.push_back(std::move(t));
+  }
+  for (const auto& t : open)
+    if (t->answer({Final::How::Stopping, Span{}, true, 0, {}})) left(*t);
+}
+
+Counts Core::counts() const {
+  const std::lock_guard lock(inside_->tickets_mutex);
+  return {inside_->tickets.size(), inside_->queue.size(), inside_->workers.count() - inside_->workers.idle()};
+}
+
+}  // namespace calicograde::front
--- /dev/null
+++ b/src/front/core.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/prompt.hpp"
+#include "core/types.hpp"
+#include "engines/completions.hpp"
+#include "front/claim.hpp"
+#include "http/http.hpp"
+#include "intake/intake.hpp"
+#include "log/log.hpp"
+#include "net/socket.hpp"
+#include "settings/settings.hpp"
+
+// What all client protocols share: one thread owns the modules (one a pool) and is fed through a bounded
+// queue; sends run on threads with small stacks; the answer that has begun is handed to the client's own
+// thread.
+namespace calicograde::front {
+
+class Core;
+class Ticket;
+
+// What a client protocol asks for.
+struct Asked {
+  std::size_t route = 0;  // in settings::Front::routes
+  std::shared_ptr<const Prompt> prompt;
+  TextKey session = 0, shared_text = 0;
+  double prompt_tokens = 0, shared_tokens = 0;
+  std::size_t prompt_bytes = 0;
+  Instant ends;            // of the client's budget
+  std::string dedupe_key;  // passed on to engines; empty = none
+};
+
+// An answer that has begun at an engine; read by the client's thread alone.
+class EngineStream {
+ public:
+  enum class Next { Chunk, Finished, Broken, Garbage, Silent, ClientLeft };
+  EngineStream(http::ClientConnection link, http::EventReader events, std::vector<http::ServerEvent> ready,
+               net::Address engine, Usage usage);
+  // The next chunk of the answer; Silent if none came by the deadline (it may be asked again). While it waits
+  // it looks whether the client behind `client_fd` has hung up.
+  Next next(engines::Chunk& out, Instant deadline, int client_fd);
+  const Usage& usage() const { return usage_; }  // what is known so far
+  const net::Address& engine() const { return engine_; }
+  http::ClientConnection take_link() { return std::move(link_); }
+
+ private:
+  http::ClientConnection link_;
+  http::EventReader events_;
+  std::vector<http::ServerEvent> ready_;
+  std::size_t at_ = 0;
+  net::Address engine_;
+  Usage usage_;
+  bool finished_ = false, body_done_ = false;
+};
+
+struct Final {
+  enum class How { Shed, Errored, Refused, Stopping } how = How::Errored;
+  Span retry_after;
+  bool outcome_unknown = false;
+  int status = 0;       // of the engine's refusal
+  std::string message;  // of the engine's refusal
+};
+
+// One inference that this front has taken, as its client's thread sees it.
+class Ticket {
+ public:
+  Ticket(InfId inf, std::size_t pool, Asked asked, std::shared_ptr<const net::Wake> wake)
+      : inf_(inf), pool_(pool), asked_(std::move(asked)), wake_(std::move(wake)) {
+    usage_.prompt_tokens = asked_.prompt_tokens;
+  }
+  InfId inf() const { return inf_; }
+  std::size_t pool() const { return pool_; }
+  const Asked& asked() const { return asked_; }
+
+  // The client's thread: what has come, once the wake is raised.
+  std::variant<std::monostate, Final, std::unique_ptr<EngineStream>> take();
+  // The client's thread gives up. True if the module must hear that the client left.
+  bool leave();
+  std::uint8_t streaming_send() const;
+
+  // Others: whoever claims first speaks to the client.
+  bool claim_stream(std::uint8_t send);
+  bool deliver(std::unique_ptr<EngineStream>& stream);  // false: the client has left meanwhile
+  bool answer(const Final& final);
+  // What a read told of the prompt.
+  void learn(const Usage& usage);
+  Usage usage() const;
+
+ private:
+  const InfId inf_;
+  const std::size_t pool_;
+  const Asked asked_;
+  std::shared_ptr<const net::Wake>
+      wake_;  // let go once a stream is handed over: a descriptor less for its length
+  mutable std::mutex mutex_;
+  Claim claim_;
+  bool left_ = false;
+  Usage usage_;
+  std::optional<Final> final_;
+  std::unique_ptr<EngineStream> stream_;
+};
+
+struct Counts {
+  std::size_t open = 0, queued = 0, sends = 0;
+};
+
+class Core {
+ public:
+  Core(const settings::Front& settings, log::Log& log);
+  ~Core();
+  // Starts the owner of the modules and the followers of the rosters.
+  void start();
+  // Waits until each pool has heard its first list, at most until the deadline.
+  bool wait_for_rosters(Instant deadline);
+
+  // Takes an inference, or none: the front is full or stopping, and its client is to be told so.
+  std::shared_ptr<Ticket> open(Asked asked, std::shared_ptr<const net::Wake> wake);
+  // The client has left before any answer was claimed.
+  void left(const Ticket& ticket);
+  // The stream that was delivered has ended; the client's thread says how.
+  void stream_ended(const Ticket& ticket, EndedAs as, std::unique_ptr<EngineStream> stream);
+  // Each opened ticket is closed once, when its client's thread is done with it.
+  void closed(const Ticket& ticket);
+
+  // Estimates, corrected by what engines report.
+  double estimate_tokens(std::size_t route, std::size_t bytes) const;
+
+  void refuse_new();  // from now on nothing is taken
+  void abort_all();   // what is open is errored now; streams see it within a second
+  bool aborting() const { return aborting_; }
+  Counts counts() const;
+  const settings::Front& settings() const { return settings_; }
+  log::Log& log() { return log_; }
+
+ private:
+  struct Inside;
+  const settings::Front settings_;
+  log::Log& log_;
+  std::atomic<bool> refusing_ = false, aborting_ = false;
+  std::unique_ptr<Inside> inside_;
+};
+
+}  // namespace calicograde::front
--- /dev/null
+++ b/src/front/server.cpp
@@ -0,0 +1,131 @@
+#include "front/server.hpp"
+
+#include <unistd.h>
+
+#include <random>
+
+#include "net/clock.hpp"
+#include "net/thread.hpp"
+
+namespace calicograde::front {
+namespace {
+
+// The whole answer to a connection that is one too many.
+constexpr std::string_view too_many =
+    "HTTP/1.1 529 Overloaded\r\ncontent-type: application/json\r\nretry-after: 1\r\nconnection: close\r\n"
+    "content-length: 98\r\n\r\n"
+    R"({"type":"error","error":{"type":"overloaded_error","message":"too many connections at this front"}})";
+
+}  // namespace
+
+Server::Server(Core& core, std::vector<std::unique_ptr<Protocol>> protocols)
+    : core_(core), protocols_(std::move(protocols)) {
+  std::random_device chance;
+  char stamp[16];
+  std::snprintf(stamp, sizeof stamp, "%08x", chance());
+  stamp_ = stamp;
+}
+
+Server::~Server() {
+  stop(net::clock_now());
+  // Their threads hold on to this server; each of their waits has an end.
+  while (open_ > 0) usleep(1000);
+}
+
+void Server::start() {
+  for (const auto& at : core_.settings().listen) {
+    listeners_.push_back(std::make_unique<net::Listener>(at));
+    addresses_.push_back({at.host, listeners_.back()->port()});
+  }
+  for (auto& l : listeners_) acceptors_.emplace_back([this, &l] { accept(*l); });
+}
+
+std::vector<net::Address> Server::addresses() const { return addresses_; }
+
+void Server::accept(net::Listener& listener) {
+  while (!stopping_) {
+    auto stream = listener.accept(net::clock_now() + Span::millis(1000));
+    if (!stream || stopping_) continue;
+    const bool room = ++open_ <= core_.settings().connections;
+    auto shared = std::make_shared<net::Stream>(std::move(*stream));
+    if (room && net::start_thread(core_.settings().stack, [this, shared] {
+          serve(std::move(*shared));
+          --open_;
+        }))
+      continue;
+    // No thread, or one too many: told at once, so that it can go elsewhere. Nothing was taken.
+    --open_;
+    boost::system::error_code ec;
+    shared->set_deadline(net::clock_now());
+    shared->write_some(boost::asio::buffer(too_many.data(), too_many.size()), ec);
+    shared->shut();
+  }
+}
+
+Protocol* Server::protocol_for(const std::string& target) const {
+  const std::string path = target.substr(0, target.find('?'));
+  for (const auto& p : protocols_)
+    if (p->takes(path)) return p.get();
+  return nullptr;
+}
+
+void Server::serve(net::Stream stream) {
+  http::ServerConnection connection(std::move(stream), core_.settings().http);
+  Visit visit{connection, {}};
+  for (bool more = true; more && !stopping_;) {
+    visit.request_id = "req_" + stamp_ + std::to_string(++requests_);
+    {
+      const std::lock_guard lock(idle_mutex_);
+      idle_.insert(&connection.stream());
+    }
+    http::Request request;
+    const http::ReadEnd end = connection.read(request);
+    {
+      const std::lock_guard lock(idle_mutex_);
+      idle_.erase(&connection.stream());
+    }
+    if (end == http::ReadEnd::Closed) return;
+    Protocol* first = protocols_.front().get();
+    if (end != http::ReadEnd::Ok) {
+      const std::string limit = std::to_string(core_.settings().http.body_bytes);
+      switch (end) {
+        case http::ReadEnd::HeaderTooLarge:
+          first->refuse(431, "the request's head is too large", visit);
+          break;
+        case http::ReadEnd::BodyTooLarge:
+          first->refuse(413, "the body is larger than " + limit + " bytes", visit);
+          break;
+        case http::ReadEnd::TimedOut:
+          first->refuse(408, "the request did not come whole in time", visit);
+          break;
+        default: first->refuse(400, "this is no HTTP/1.1 request", visit);
+      }
+      return connection.linger();
+    }
+    if (Protocol* p = protocol_for(request.target)) {
+      more = p->serve(request, visit) && request.keep_alive;
+    } else {
+      first->refuse(404, request.method + " " + request.target.substr(0, 200) + " is not served here", visit);
+      more = false;
+    }
+  }
+}
+
+bool Server::stop(Instant deadline) {
+  if (stopping_.exchange(true)) return true;
+  core_.refuse_new();
+  for (auto& l : listeners_) l->stop();
+  for (auto& t : acceptors_) t.join();
+  {
+    const std::lock_guard lock(idle_mutex_);
+    for (const net::Stream* s : idle_) s->shut();
+  }
+  while (core_.counts().open > 0 && net::clock_now() < deadline) usleep(2000);
+  const bool clean = core_.counts().open == 0;
+  if (!clean) core_.abort_all();
+  const Instant last = net::clock_now() + Span::millis(3000);
+  while (open_ > 0 && net::clock_now() < last) usleep(1000);
+  return clean;
+}
+
+}  // namespace calicograde::front
--- /dev/null
+++ b/src/front/server.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "front/core.hpp"
+#include "http/http.hpp"
+#include "net/socket.hpp"
+
+namespace calicograde::front {
+
+// One client's connection, served by a thread of its own.
+struct Visit {
+  http::ServerConnection& connection;
+  std::string request_id;
+};
+
+// A client protocol: answers one request. False ends the connection.
+class Protocol {
+ public:
+  virtual ~Protocol() = default;
+  virtual bool takes(const std::string& path) const = 0;
+  virtual bool serve(const http::Request& request, Visit& visit) = 0;
+  // What is no HTTP, too large or too slow; and paths that nobody takes.
+  virtual void refuse(int status, const std::string& what, Visit& visit) = 0;
+};
+
+// Listeners and connections: accepts, limits, reads requests and hands them to the protocol that takes their
+// path.
+class Server {
+ public:
+  Server(Core& core, std::vector<std::unique_ptr<Protocol>> protocols);
+  ~Server();
+  void start();  // throws std::runtime_error if an address can't be listened on
+  std::vector<net::Address> addresses() const;
+  // No new work; what runs may end until the deadline, then is errored. True if nothing had to be errored.
+  bool stop(Instant deadline);
+  std::size_t connections() const { return open_; }
+
+ private:
+  void accept(net::Listener& listener);
+  void serve(net::Stream stream);
+  Protocol* protocol_for(const std::string& target) const;
+
+  Core& core_;
+  std::vector<std::unique_ptr<Protocol>> protocols_;
+  std::vector<std::unique_ptr<net::Listener>> listeners_;
+  std::vector<net::Address> addresses_;
+  std::vector<std::thread> acceptors_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<std::size_t> open_ = 0;
+  std::atomic<std::uint64_t> requests_ = 0;
+  std::string stamp_;
+  std::mutex idle_mutex_;
+  std::set<const net::Stream*> idle_;  // connections between two requests
+};
+
+}  // namespace calicograde::front
--- /dev/null
+++ b/src/http/http.cpp
@@ -0,0 +1,252 @@
+#include "http/http.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "net/clock.hpp"
+
+namespace calicograde::http {
+namespace beast = boost::beast;
+namespace bh = boost::beast::http;
+
+namespace {
+
+template <class Fields>
+Headers take_headers(const Fields& fields) {
+  Headers out;
+  for (const auto& f : fields) out.emplace_back(std::string(f.name_string()), std::string(f.value()));
+  return out;
+}
+
+std::string head_text(const Headers& headers) {
+  std::string out;
+  for (const auto& [name, value] : headers) out += name + ": " + value + "\r\n";
+  return out + "\r\n";
+}
+
+bool write_every(net::Stream& s, std::string_view bytes) {
+  while (!bytes.empty()) {
+    boost::system::error_code ec;
+    const auto n = s.write_some(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+    if (ec) return false;
+    bytes.remove_prefix(n);
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string_view header(const Headers& headers, std::string_view name) {
+  for (const auto& [n, v] : headers)
+    if (beast::iequals(n, name)) return v;
+  return {};
+}
+
+const char* reason(int status) {
+  if (status == 529) return "Overloaded";
+  const auto text = bh::obsolete_reason(static_cast<bh::status>(status));
+  return text.data();
+}
+
+struct ServerConnection::Parts {
+  beast::flat_buffer buffer;
+};
+
+ServerConnection::ServerConnection(net::Stream stream, const Limits& limits)
+    : stream_(std::move(stream)), limits_(limits), parts_(std::make_unique<Parts>()) {
+  parts_->buffer.max_size(limits.header_bytes + 65536);
+}
+ServerConnection::~ServerConnection() = default;
+
+ReadEnd ServerConnection::read(Request& out) {
+  bh::request_parser<bh::string_body> parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+  parser.body_limit(limits_.body_bytes);
+  boost::system::error_code ec;
+  stream_.watch(-1);
+  if (parts_->buffer.size() == 0) {
+    stream_.set_deadline(net::clock_now() + limits_.idle);
+    const auto n = stream_.read_some(parts_->buffer.prepare(4096), ec);
+    if (ec) return ReadEnd::Closed;
+    parts_->buffer.commit(n);
+  }
+  stream_.set_deadline(net::clock_now() + limits_.head);
+  const auto end_of = [&] {
+    if (ec == boost::asio::error::timed_out) return ReadEnd::TimedOut;
+    if (ec == bh::error::header_limit || ec == bh::error::buffer_overflow) return ReadEnd::HeaderTooLarge;
+    if (ec == bh::error::body_limit) return ReadEnd::BodyTooLarge;
+    if (ec == bh::error::end_of_stream || ec == boost::asio::error::eof ||
+        ec == boost::asio::error::connection_reset || ec == bh::error::partial_message)
+      return ReadEnd::Closed;
+    return ReadEnd::Malformed;
+  };
+  bh::read_header(stream_, parts_->buffer, parser, ec);
+  if (ec) return end_of();
+  // A body that is declared too large is told so before it is sent.
+  if (const auto n = parser.content_length(); n && *n > limits_.body_bytes) return ReadEnd::BodyTooLarge;
+  if (beast::iequals(parser.get()[bh::field::expect], "100-continue")) {
+    stream_.set_deadline(net::clock_now() + limits_.write);
+    if (!write_every(stream_, "HTTP/1.1 100 Continue\r\n\r\n")) return ReadEnd::Closed;
+  }
+  stream_.set_deadline(net::clock_now() + limits_.body);
+  if (!parser.is_done()) bh::read(stream_, parts_->buffer, parser, ec);
+  if (ec) return end_of();
+  auto message = parser.release();
+  out.method = std::string(message.method_string());
+  out.target = std::string(message.target());
+  out.headers = take_headers(message.base());
+  out.keep_alive = message.keep_alive();
+  out.body = std::move(message.body());
+  return ReadEnd::Ok;
+}
+
+bool ServerConnection::write_all(std::string_view a, std::string_view b, std::string_view c) {
+  stream_.set_deadline(net::clock_now() + limits_.write);
+  std::string whole;
+  whole.reserve(a.size() + b.size() + c.size());
+  whole.append(a).append(b).append(c);
+  return write_every(stream_, whole);
+}
+
+bool ServerConnection::respond(int status, const Headers& headers, std::string_view body, bool keep_alive) {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\n";
+  head += "content-length: " + std::to_string(body.size()) + "\r\n";
+  if (!keep_alive) head += "connection: close\r\n";
+  return write_all(head, head_text(headers), body);
+}
+
+bool ServerConnection::begin_stream(int status, const Headers& headers) {
+  const std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\n";
+  return write_all(head, "transfer-encoding: chunked\r\ncache-control: no-cache\r\n", head_text(headers));
+}
+
+bool ServerConnection::piece(std::string_view bytes) {
+  if (bytes.empty()) return true;
+  char size[24];
+  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  return write_all(size, bytes, "\r\n");
+}
+
+bool ServerConnection::end_stream() { return write_all("0\r\n\r\n"); }
+
+void ServerConnection::linger() {
+  ::shutdown(stream_.fd(), SHUT_WR);
+  const Instant until = net::clock_now() + Span::millis(1000);
+  stream_.set_deadline(until);
+  char drop[4096];
+  boost::system::error_code ec;
+  for (std::size_t got = 0; !ec && got < limits_.body_bytes && net::clock_now() < until;)
+    got += stream_.read_some(boost::asio::buffer(drop), ec);
+}
+
+struct ClientConnection::Parts {
+  beast::flat_buffer buffer;
+  std::optional<bh::response_parser<bh::buffer_body>> parser;
+  bool whole = true;
+};
+
+ClientConnection::ClientConnection(net::Stream stream)
+    : stream_(std::move(stream)), parts_(std::make_unique<Parts>()) {}
+ClientConnection::ClientConnection(ClientConnection&&) noexcept = default;
+ClientConnection& ClientConnection::operator=(ClientConnection&&) noexcept = default;
+ClientConnection::~ClientConnection() = default;
+
+bool ClientConnection::ask(std::string_view method, std::string_view target, const Headers& headers,
+                           std::string_view body, Instant deadline) {
+  std::string text;
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  text += "content-length: " + std::to_string(body.size()) + "\r\n" + head_text(headers);
+  text.append(body);
+  ++uses_, parts_->whole = false;
+  stream_.set_deadline(deadline);
+  return write_every(stream_, text);
+}
+
+BodyEnd ClientConnection::read_head(Response& out, Instant deadline) {
+  stream_.set_deadline(deadline);
+  parts_->parser.emplace();
+  parts_->parser->header_limit(32 << 10);
+  parts_->parser->body_limit(boost::none);
+  boost::system::error_code ec;
+  bh::read_header(stream_, parts_->buffer, *parts_->parser, ec);
+  if (ec == boost::asio::error::timed_out) return BodyEnd::TimedOut;
+  if (ec == boost::asio::error::operation_aborted) return BodyEnd::Aborted;
+  if (ec) return BodyEnd::Broken;
+  out.status = static_cast<int>(parts_->parser->get().result_int());
+  out.headers = take_headers(parts_->parser->get().base());
+  if (parts_->parser->is_done()) parts_->whole = true;
+  return BodyEnd::Done;
+}
+
+BodyEnd ClientConnection::read_body(std::string& out, Instant deadline) {
+  auto& p = *parts_->parser;
+  if (p.is_done()) return parts_->whole = true, BodyEnd::Done;
+  stream_.set_deadline(deadline);
+  char piece[4096];
+  p.get().body().data = piece;
+  p.get().body().size = sizeof piece;
+  p.get().body().more = true;
+  boost::system::error_code ec;
+  bh::read_some(stream_, parts_->buffer, p, ec);
+  if (ec == bh::error::need_buffer) ec = {};
+  out.append(piece, sizeof piece - p.get().body().size);
+  if (ec == boost::asio::error::timed_out) return BodyEnd::TimedOut;
+  if (ec == boost::asio::error::operation_aborted) return BodyEnd::Aborted;
+  if (ec) return BodyEnd::Broken;
+  if (!p.is_done()) return BodyEnd::More;
+  return parts_->whole = true, BodyEnd::Done;
+}
+
+BodyEnd ClientConnection::read_whole(std::string& out, Instant deadline, std::size_t most) {
+  for (;;) {
+    const BodyEnd end = read_body(out, deadline);
+    if (out.size() > most) return BodyEnd::Broken;
+    if (end != BodyEnd::More) return end;
+  }
+}
+
+bool ClientConnection::reusable() const {
+  return parts_->whole && parts_->buffer.size() == 0 &&
+         (!parts_->parser || parts_->parser->get().keep_alive()) && !stream_.stale();
+}
+
+bool EventReader::feed(std::string_view bytes, std::vector<ServerEvent>& out) {
+  for (const char c : bytes) {
+    if (c != '\n') {
+      line_ += c;
+      if (line_.size() + now_.data.size() > most_) return false;
+      continue;
+    }
+    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+    if (line_.empty()) {
+      if (any_) out.push_back(std::exchange(now_, {}));
+      any_ = false;
+      continue;
+    }
+    const auto colon = line_.find(':');
+    const std::string_view name = std::string_view(line_).substr(0, colon);
+    std::string_view value =
+        colon == std::string::npos ? std::string_view{} : std::string_view(line_).substr(colon + 1);
+    if (!value.empty() && value.front() == ' ') value.remove_prefix(1);
+    if (name == "event") now_.event = value, any_ = true;
+    if (name == "id") now_.id = value;
+    if (name == "data") {
+      if (!now_.data.empty()) now_.data += '\n';
+      now_.data += value, any_ = true;
+    }
+    line_.clear();
+  }
+  return true;
+}
+
+std::string event_text(std::string_view event, std::string_view data) {
+  std::string out;
+  if (!event.empty()) out.append("event: ").append(event).append("\n");
+  return out.append("data: ").append(data).append("\n\n");
+}
+
+}  // namespace calicograde::http
--- /dev/null
+++ b/src/http/http.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "net/socket.hpp"
+
+// HTTP/1.1 (RFC 9112) over the project's own blocking stream, with Boost.Beast's parsers and serializers.
+namespace calicograde::http {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+// The first value of a header, its name in any case; empty if absent.
+std::string_view header(const Headers& headers, std::string_view name);
+
+struct Request {
+  std::string method, target;
+  Headers headers;
+  std::string body;
+  bool keep_alive = true;
+};
+
+struct Limits {
+  std::size_t header_bytes = 16 << 10, body_bytes = 4 << 20;
+  Span idle = Span::millis(60000), head = Span::millis(10000), body = Span::millis(30000),
+       write = Span::millis(10000);
+};
+
+enum class ReadEnd { Ok, Closed, Malformed, HeaderTooLarge, BodyTooLarge, TimedOut };
+
+// The serving end of one connection. Not shared between threads.
+class ServerConnection {
+ public:
+  ServerConnection(net::Stream stream, const Limits& limits);
+  ~ServerConnection();
+  // The next request. Waits `idle` for its first byte, then `head` for the rest of its head, `body` for the
+  // body. After anything but Ok the connection must be closed (an answer may be written first, save after
+  // Closed).
+  ReadEnd read(Request& out);
+  // Each returns false when the client did not take it within `write`; the connection is of no use then.
+  bool respond(int status, const Headers& headers, std::string_view body, bool keep_alive);
+  bool begin_stream(int status, const Headers& headers);
+  bool piece(std::string_view bytes);  // one chunk
+  bool end_stream();
+  // After an answer to bad input: lets the client read it before the connection ends.
+  void linger();
+  net::Stream& stream() { return stream_; }
+
+ private:
+  struct Parts;
+  bool write_all(std::string_view a, std::string_view b = {}, std::string_view c = {});
+  net::Stream stream_;
+  Limits limits_;
+  std::unique_ptr<Parts> parts_;
+};
+
+struct Response {
+  int status = 0;
+  Headers headers;
+};
+
+enum class BodyEnd { More, Done, Broken, TimedOut, Aborted };
+
+// The asking end of one connection, kept alive between requests.
+class ClientConnection {
+ public:
+  explicit ClientConnection(net::Stream stream);
+  ClientConnection(ClientConnection&&) noexcept;
+  ClientConnection& operator=(ClientConnection&&) noexcept;
+  ~ClientConnection();
+  // False when it could not be written whole by the deadline; stream().bytes_written() tells whether any was.
+  bool ask(std::string_view method, std::string_view target, const Headers& headers, std::string_view body,
+           Instant deadline);
+  // The head of the answer. Done means it is here; Broken includes what is no HTTP.
+  BodyEnd read_head(Response& out, Instant deadline);
+  // Appends what has come of the body. Done: that was the last of it.
+  BodyEnd read_body(std::string& out, Instant deadline);
+  // All of it, up to `most` bytes; larger is Broken.
+  BodyEnd read_whole(std::string& out, Instant deadline, std::size_t most);
+  bool reusable() const;  // the last answer was read whole and the peer keeps the connection open
+  std::size_t uses() const { return uses_; }
+  net::Stream& stream() { return stream_; }
+
+ private:
+  struct Parts;
+  net::Stream stream_;
+  std::unique_ptr<Parts> parts_;
+  std::size_t uses_ = 0;
+};
+
+// Server-sent events (WHATWG HTML, 9.2), read piece by piece.
+struct ServerEvent {
+  std::string event, data, id;
+};
+class EventReader {
+ public:
+  explicit EventReader(std::size_t most_bytes = 1 << 20) : most_(most_bytes) {}
+  // False when a line is longer than allowed.
+  bool feed(std::string_view bytes, std::vector<ServerEvent>& out);
+
+ private:
+  std::size_t most_;
+  std::string line_;
+  ServerEvent now_;
+  bool any_ = false;
+};
+std::string event_text(std::string_view event, std::string_view data);
+
+const char* reason(int status);
+
+}  // namespace calicograde::http
--- /dev/null
+++ b/src/lab/engine_standin.cpp
@@ -0,0 +1,412 @@
+#include "lab/engine_standin.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+#include "engines/completions.hpp"
+#include "net/clock.hpp"
+#include "net/thread.hpp"
+
+namespace calicograde::lab {
+
+using net::clock_now;
+using Json = nlohmann::ordered_json;
+
+namespace {
+
+constexpr std::size_t block_bytes = 256, blocks_kept = 200000, stack = 128 << 10;
+constexpr Span state_life = Span::millis(30000), tombstone_life = Span::millis(10000);
+constexpr double near_tokens_per_s = 300000;
+
+}  // namespace
+
+struct EngineStandin::Asked {
+  std::string name, mark, model, text, key, place, state_at, state_name;
+  double tokens = 0;
+  int answer_tokens = 1;
+  bool read = false;
+};
+
+EngineStandin::EngineStandin(EngineOptions options, Recorder& records, std::shared_ptr<DedupeMemory> dedupe)
+    : options_(std::move(options)),
+      records_(records),
+      dedupe_(std::move(dedupe)),
+      started_(clock_now()),
+      random_(static_cast<std::uint32_t>(options_.seed)) {
+  listener_ = std::make_shared<net::Listener>(net::Address{"127.0.0.1", 0});
+  port_ = listener_->port();
+  address_ = "127.0.0.1:" + std::to_string(port_);
+  acceptor_ = std::thread([this, l = listener_, life = life_.load()] { accept(l, life); });
+}
+
+EngineStandin::~EngineStandin() {
+  if (!is_down()) crash();
+  while (threads_ > 0) usleep(1000);
+}
+
+std::string EngineStandin::incarnation() const { return std::to_string(life_); }
+Span EngineStandin::age() const {
+  const std::lock_guard lock(mutex_);
+  return clock_now() - started_;
+}
+bool EngineStandin::is_down() const {
+  const std::lock_guard lock(mutex_);
+  return faults_.down;
+}
+Faults EngineStandin::faults() {
+  const std::lock_guard lock(mutex_);
+  return faults_;
+}
+void EngineStandin::set(const std::function<void(Faults&)>& change) {
+  const std::lock_guard lock(mutex_);
+  change(faults_);
+  if (std::exchange(faults_.forget, false)) kept_.clear();
+}
+
+void EngineStandin::note(const std::string& what, const std::string& name, const std::string& mark,
+                         const std::string& how, double number) {
+  records_.add({clock_now(), what, address_, name, mark, how, number});
+}
+
+void EngineStandin::crash() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (faults_.down) return;
+    faults_ = {}, faults_.down = true;
+    ++life_;
+    for (const auto& [name, h] : held_) note("unheld", name, "", "lost");
+    held_.clear(), kept_.clear(), arrivals_.clear();
+    note("down", "", "", "crash");
+  }
+  listener_->stop();
+  acceptor_.join();
+  listener_.reset();
+}
+
+void EngineStandin::restart() {
+  if (!is_down()) crash();
+  while (threads_ > 0) usleep(1000);
+  listener_ = std::make_shared<net::Listener>(net::Address{"127.0.0.1", port_});
+  {
+    const std::lock_guard lock(mutex_);
+    faults_ = {};
+    started_ = clock_now(), cold_ = true, reading_ = writing_ = waiting_ = 0, reading_until_ = started_;
+    ++life_;
+    note("started", incarnation(), "", "cold", options_.rate);
+  }
+  acceptor_ = std::thread([this, l = listener_, life = life_.load()] { accept(l, life); });
+}
+
+void EngineStandin::accept(std::shared_ptr<net::Listener> listener, int life) {
+  while (life_ == life) {
+    auto stream = listener->accept(clock_now() + Span::millis(1000));
+    if (!stream) continue;
+    ++threads_;
+    auto shared = std::make_shared<net::Stream>(std::move(*stream));
+    if (!net::start_thread(stack, [this, shared, life] { serve(std::move(*shared), life), --threads_; }))
+      --threads_;
+  }
+}
+
+void EngineStandin::serve(net::Stream stream, int life) {
+  http::Limits limits;
+  limits.idle = Span::millis(100), limits.body_bytes = 64 << 20;
+  http::ServerConnection c(std::move(stream), limits);
+  if (const Span h = faults().handshake; h > Span{}) wait(c, clock_now() + h, life);
+  const Instant idle_from = clock_now();
+  for (Instant last = idle_from; life_ == life && clock_now() - last < Span::millis(60000);) {
+    http::Request request;
+    const auto end = c.read(request);
+    if (end == http::ReadEnd::Closed && c.stream().stale()) break;
+    if (end == http::ReadEnd::Closed) continue;  // idle for a moment: looks whether the engine still lives
+    if (end != http::ReadEnd::Ok || !answer(request, c, life)) break;
+    last = clock_now();
+  }
+  if (life_ != life) c.stream().reset_hard();
+}
+
+bool EngineStandin::wait(http::ServerConnection& c, Instant until, int life) {
+  static const net::Wake never;
+  do {
+    const Instant slice = std::min(until, clock_now() + Span::millis(20));
+    if (net::wait_for(never, c.stream().fd(), slice) == net::Waited::PeerLeft) return false;
+    if (life_ != life) return false;
+    const Faults f = faults();
+    if (f.vanished || f.hung) until = std::max(until, clock_now() + Span::millis(20));
+  } while (clock_now() < until);
+  return true;
+}
+
+bool EngineStandin::respond(http::ServerConnection& c, int status, const std::string& body) {
+  http::Headers h{{"content-type", "application/json"}};
+  if (options_.reports) h.emplace_back("x-calicograde-load", load());
+  return c.respond(status, h, body, true);
+}
+
+bool EngineStandin::refuse(const Asked& a, http::ServerConnection& c, int status, const std::string& code) {
+  note("send_end", a.name, a.mark, code);
+  return respond(c, status, Json{{"error", {{"code", code}, {"message", "stand-in: " + code}}}}.dump());
+}
+
+std::string EngineStandin::load() {
+  const std::lock_guard lock(mutex_);
+  double held = 0;
+  for (const auto& [name, h] : held_) held += h.tokens;
+  LoadReport r;
+  r.inferences_held = reading_ + writing_ + static_cast<int>(held_.size());
+  r.waiting = waiting_, r.memory_share = held / options_.memory_tokens;
+  if (!faults_.stale_reports || last_report_.empty()) last_report_ = engines::text_of(r);
+  return last_report_;
+}
+
+double EngineStandin::held_tokens() {
+  double sum = 0;
+  const Instant now = clock_now();
+  for (auto it = held_.begin(); it != held_.end();) {
+    if (it->second.until < now) note("unheld", it->first, "", "expired"), it = held_.erase(it);
+    else sum += (it++)->second.tokens;
+  }
+  return sum;
+}
+
+bool EngineStandin::hold(const std::string& name, double tokens, bool place) {
+  const std::lock_guard lock(mutex_);
+  std::erase_if(released_early_, [](const auto& r) { return clock_now() - r.second > tombstone_life; });
+  if (released_early_.erase(name) > 0) return false;
+  if (held_tokens() + tokens > options_.memory_tokens) return false;
+  if (place &&
+      (writing_ + std::count_if(held_.begin(), held_.end(), [](const auto& h) { return h.second.place; }) >=
+           options_.slots ||
+       waiting_ > 0))
+    return false;
+  held_[name] = {tokens, place, clock_now() + state_life};
+  note("held", name, "", place ? "place" : "state", tokens);
+  return true;
+}
+
+bool EngineStandin::unhold(const std::string& name, const std::string& how) {
+  const std::lock_guard lock(mutex_);
+  if (held_.erase(name) == 0) {
+    if (how == "released") released_early_[name] = clock_now();
+    return false;
+  }
+  note("unheld", name, "", how);
+  return true;
+}
+
+double EngineStandin::capacity() {
+  if (!cold_) return 1;
+  return std::min(1.0,
+                  options_.cold_from + (1 - options_.cold_from) * ((clock_now() - started_) / options_.cold));
+}
+
+// A cold engine falls over when sent more than the multiple of what it can do just now, over the window.
+bool EngineStandin::pushed_over() {
+  const std::lock_guard lock(mutex_);
+  const Instant now = clock_now();
+  arrivals_.push_back(now);
+  while (!arrivals_.empty() && now - arrivals_.front() > options_.fall) arrivals_.pop_front();
+  const double most = options_.fall_multiple * capacity() * options_.rate * options_.fall.seconds() + 3;
+  return cold_ && capacity() < 1 && static_cast<double>(arrivals_.size()) > most;
+}
+
+double EngineStandin::find_kept(const std::string& text, double tokens) {
+  const std::lock_guard lock(mutex_);
+  std::uint64_t chain = 1469598103934665603ULL;
+  std::size_t found = 0;
+  bool all = true;
+  if (kept_.size() > blocks_kept) kept_.clear();
+  for (std::size_t at = 0; at + block_bytes <= text.size(); at += block_bytes) {
+    for (std::size_t k = at; k < at + block_bytes; ++k)
+      chain = (chain ^ static_cast<unsigned char>(text[k])) * 1099511628211ULL;
+    all = all && kept_.contains(chain);
+    if (all) found = at + block_bytes;
+    kept_.insert(chain);
+  }
+  return text.empty() ? 0 : tokens * static_cast<double>(found) / static_cast<double>(text.size());
+}
+
+bool EngineStandin::answer(const http::Request& request, http::ServerConnection& c, int life) {
+  const Json j = Json::parse(request.body, nullptr, false);
+  const std::string name(http::header(request.headers, "x-request-id"));
+  if (const Faults f = faults(); f.vanished || f.hung) {
+    if (request.target == "/v1/chat/completions") note("send", name, "", "unanswered");
+    const bool back = wait(c, clock_now() + Span::millis(1), life);
+    if (request.target == "/v1/chat/completions") note("send_end", name, "", "unanswered");
+    if (f.vanished || !back) return false;  // a machine that comes back knows nothing of it
+  }
+  if (request.target == "/calicograde/v1/release") return unhold(name, "released"), respond(c, 200, "{}");
+  if (request.target == "/calicograde/v1/hold") {
+    const bool held = options_.places && j.is_object() &&
+                      hold(name, j.value("prompt_tokens", 0.0) + j.value("max_tokens", 0.0) / 2, true);
+    return respond(c, 200, held ? "{\"held\":true}" : "{\"held\":false}");
+  }
+  if (request.target == "/standin/fetch") {
+    const bool got = unhold(name, "taken");
+    return respond(c, got ? 200 : 404, "{}");
+  }
+  Asked a;
+  a.name = name;
+  if (request.target != "/v1/chat/completions" || !j.is_object() || !j.contains("messages") ||
+      !j["messages"].is_array())
+    return refuse(a, c, 400, "invalid_request");
+  for (const auto& m : j["messages"]) a.text += m.value("role", "") + ":" + m.value("content", "") + "\n";
+  a.tokens = static_cast<double>(a.text.size()) / 4;
+  if (const auto at = a.text.rfind("[mark "); at != std::string::npos)
+    a.mark = a.text.substr(at + 6, a.text.find(']', at) - at - 6);
+  a.model = j.value("model", ""), a.answer_tokens = j.value("max_tokens", 1),
+  a.key = http::header(request.headers, "idempotency-key");
+  a.place = j.value("calicograde_place", "");
+  const Json params = j.value("kv_transfer_params", Json());
+  a.read = params.is_object() && params.value("do_remote_decode", false);
+  if (params.is_object() && !a.read) {
+    a.state_name = params.value("remote_request_id", "");
+    a.state_at = params.value("remote_host", "") + ":" + std::to_string(params.value("remote_port", 0));
+  }
+  note("send", name, a.mark, a.read ? "read" : a.state_name.empty() ? "whole" : "write", a.tokens);
+  if (pushed_over()) {
+    note("fell", name, "", "pushed over");
+    std::thread([this] { crash(); }).detach();
+    return false;
+  }
+  const Faults f = faults();
+  bool fails = false;
+  {
+    const std::lock_guard lock(mutex_);
+    fails = std::uniform_real_distribution<double>()(random_) < f.failing;
+  }
+  if (fails) return refuse(a, c, 500, "internal");
+  if (!f.closed_to.empty() && f.closed_to == a.model) return refuse(a, c, 429, "queue_full");
+  return a.read ? read(a, c, life) : write(a, c, life);
+}
+
+bool EngineStandin::read(const Asked& a, http::ServerConnection& c, int life) {
+  if (options_.stage == Stage::Write) return refuse(a, c, 400, "no_reader");
+  Instant done;
+  double kept = 0;
+  const double slow = faults().slow;
+  bool full = false;
+  if (const double n = find_kept(a.text, a.tokens); n > 0) kept = n;
+  {
+    const std::lock_guard lock(mutex_);
+    full = reading_ >= options_.slots + options_.queue;
+    if (!full) {
+      ++reading_;
+      reading_until_ = std::max(reading_until_, clock_now()) +
+                       Span::from_seconds((a.tokens - kept + 100) / options_.read_per_s / capacity() * slow);
+      done = reading_until_;
+    }
+  }
+  if (full) return refuse(a, c, 429, "queue_full");
+  const bool alive = wait(c, done, life);
+  {
+    const std::lock_guard lock(mutex_);
+    if (life_ == life) --reading_;
+  }
+  if (!alive) return note("send_end", a.name, a.mark, "left"), false;
+  if (faults().garbage)
+    return note("send_end", a.name, a.mark, "garbage"), respond(c, 200, "{\"what\":") && false;
+  if (!hold(a.name, a.tokens, false)) return refuse(a, c, 429, "queue_full");
+  const Json body{{"id", a.name},
+                  {"object", "chat.completion"},
+                  {"choices", Json::array({{{"index", 0},
+                                            {"message", {{"role", "assistant"}, {"content", "x"}}},
+                                            {"finish_reason", "length"}}})},
+                  {"kv_transfer_params",
+                   {{"do_remote_prefill", true},
+                    {"do_remote_decode", false},
+                    {"remote_engine_id", address_},
+                    {"remote_block_ids", {1, 2, 3}},
+                    {"remote_host", "127.0.0.1"},
+                    {"remote_port", port_},
+                    {"remote_request_id", a.name}}},
+                  {"usage",
+                   {{"prompt_tokens", std::llround(a.tokens)},
+                    {"completion_tokens", 1},
+                    {"prompt_tokens_details", {{"cached_tokens", std::llround(kept)}}}}}};
+  note("send_end", a.name, a.mark, "read");
+  // An answer that nobody can take leaves a state that nobody knows of.
+  return respond(c, 200, body.dump()) || (unhold(a.name, "undelivered"), false);
+}
+
+bool EngineStandin::write(const Asked& a, http::ServerConnection& c, int life) {
+  if (options_.stage == Stage::Read) return refuse(a, c, 400, "no_writer");
+  if (options_.stage == Stage::Write && a.state_name.empty()) return refuse(a, c, 409, "kv_state_gone");
+  const bool placed = !a.place.empty() && unhold(a.place, "taken");
+  bool in = placed;
+  for (bool queued = false;;) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (placed || writing_ < options_.slots) {
+        ++writing_, in = true;
+        if (queued) --waiting_;
+        break;
+      }
+      if (!queued && waiting_ >= options_.queue) break;
+      if (!queued) ++waiting_, queued = true;
+    }
+    if (!wait(c, clock_now() + Span::millis(2), life)) {
+      const std::lock_guard lock(mutex_);
+      if (life_ == life) --waiting_;
+      return note("send_end", a.name, a.mark, "left"), false;
+    }
+  }
+  if (!in) return refuse(a, c, 429, "queue_full");
+  const auto out = [&](const std::string& how) {
+    const std::lock_guard lock(mutex_);
+    if (life_ == life) --writing_;
+    note("send_end", a.name, a.mark, how);
+  };
+  const Faults f = faults();
+  if (!a.state_name.empty()) {
+    const auto from = net::parse_address(a.state_at);
+    bool got = false;
+    if (from && wait(c, clock_now() + Span::from_seconds(a.tokens / near_tokens_per_s * f.link_slow), life)) {
+      auto [how, stream] = net::Stream::connect(*from, clock_now() + Span::millis(250));
+      http::Response head;
+      if (how == net::ConnectEnd::Connected) {
+        http::ClientConnection link(std::move(stream));
+        const Instant until = clock_now() + Span::millis(500);
+        got = link.ask("POST", "/standin/fetch", {{"host", "standin"}, {"x-request-id", a.state_name}}, "{}",
+                       until) &&
+              link.read_head(head, until) == http::BodyEnd::Done && head.status == 200;
+      }
+    }
+    if (!got) {
+      const std::lock_guard lock(mutex_);
+      if (life_ == life) --writing_;
+    }
+    if (!got) return refuse(a, c, 409, "kv_state_gone");
+  }
+  // From here on it runs. A repeat that the group remembers is answered without a second effect.
+  bool effect = true;
+  if (!a.key.empty() && dedupe_) {
+    const std::lock_guard lock(dedupe_->mutex);
+    effect = dedupe_->seen.emplace(a.key, clock_now()).second;
+  }
+  if (effect) note("effect", a.name, a.mark, a.key);
+  if (!c.begin_stream(200, {{"content-type", "text/event-stream"}})) return out("left"), false;
+  const int n = std::max(1, std::min(a.answer_tokens, 3 + static_cast<int>(a.tokens) % 40));
+  for (int k = 0; k <= n; ++k) {
+    const Faults now = faults();
+    if (!wait(c, clock_now() + options_.token * (now.slow / std::max(0.2, capacity())), life))
+      return out("left"), false;
+    if (now.garbage) return out("garbage"), c.piece("data: {\"choices\":[{\"delta\":\n\n") && false;
+    if (now.cut && k > n / 2) return out("cut"), false;
+    Json chunk{{"id", a.name}, {"object", "chat.completion.chunk"}};
+    Json choice{{"index", 0}, {"delta", Json::object()}, {"finish_reason", nullptr}};
+    if (k < n) choice["delta"]["content"] = "w" + std::to_string(k) + " ";
+    else choice["finish_reason"] = n == a.answer_tokens ? "length" : "stop";
+    chunk["choices"] = Json::array({choice});
+    if (!c.piece(http::event_text("", chunk.dump()))) return out("left"), false;
+  }
+  const Json usage{{"choices", Json::array()},
+                   {"usage", {{"prompt_tokens", std::llround(a.tokens)}, {"completion_tokens", n}}}};
+  out("completed");
+  return c.piece(http::event_text("", usage.dump()) + http::event_text("", "[DONE]")) && c.end_stream();
+}
+
+}  // namespace calicograde::lab
--- /dev/null
+++ b/src/lab/engine_standin.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/types.hpp"
+#include "http/http.hpp"
+#include "lab/record.hpp"
+#include "net/socket.hpp"
+
+namespace calicograde::lab {
+
+// Engines that drop repeats of a deduped inference share one.
+struct DedupeMemory {
+  std::mutex mutex;
+  std::map<std::string, Instant> seen;
+};
+
+struct EngineOptions {
+  std::string kind = "prefill", zone = "default", rack = "r0", model;
+  Stage stage = Stage::Read;
+  int slots = 8, queue = 32;
+  double memory_tokens = 200000, read_per_s = 15000,
+         rate = 20;  // rate: sends a second that it can do when warm
+  Span token = Span::millis(10);
+  double cold_from = 0.25, fall_multiple = 2.5;
+  Span cold = Span::millis(12000), fall = Span::millis(1500);
+  bool release = true, places = false, reports = false;
+  std::uint64_t seed = 1;
+};
+
+// What is wrong with an engine just now.
+struct Faults {
+  bool down = false, vanished = false, hung = false, forget = false, garbage = false, cut = false, stale_reports = false;
+  double slow = 1, link_slow = 1, failing = 0;
+  Span handshake;         // before a connection is served
+  std::string closed_to;  // a model that is told "full"
+};
+
+// An engine on a loopback port that speaks the chat-completions shape with kv_transfer_params and the
+// extension of docs/front.md. A small model, not a measurement: reads one after the other, answers at a pace,
+// holds states in bounded memory, starts cold and falls over when pushed. Everything it sees goes to the
+// recorder.
+class EngineStandin {
+ public:
+  EngineStandin(EngineOptions options, Recorder& records, std::shared_ptr<DedupeMemory> dedupe);
+  ~EngineStandin();
+  const std::string& address() const { return address_; }
+  const EngineOptions& options() const { return options_; }
+  std::string incarnation() const;
+  Span age() const;
+  bool is_down() const;
+  void crash();    // everything is gone at once, with resets
+  void restart();  // empty and cold, on the same port
+  void set(const std::function<void(Faults&)>& change);
+
+ private:
+  struct Held {
+    double tokens = 0;
+    bool place = false;
+    Instant until;
+  };
+  struct Asked;
+  void accept(std::shared_ptr<net::Listener> listener, int life);
+  void serve(net::Stream stream, int life);
+  bool answer(const http::Request& request, http::ServerConnection& c, int life);
+  bool read(const Asked& a, http::ServerConnection& c, int life);
+  bool write(const Asked& a, http::ServerConnection& c, int life);
+  bool respond(http::ServerConnection& c, int status, const std::string& body);
+  bool refuse(const Asked& a, http::ServerConnection& c, int status, const std::string& code);
+  // Sleeps until then, or less: false if the peer left or the engine went down.
+  bool wait(http::ServerConnection& c, Instant until, int life);
+  bool hold(const std::string& name, double tokens, bool place);
+  bool unhold(const std::string& name, const std::string& how);
+  double held_tokens();
+  double capacity();  // share of the warm one; under the lock
+  bool pushed_over();
+  double find_kept(const std::string& text, double tokens);
+  void note(const std::string& what, const std::string& name, const std::string& mark, const std::string& how,
+            double number = 0);
+  Faults faults();
+  std::string load();
+
+  const EngineOptions options_;
+  Recorder& records_;
+  const std::shared_ptr<DedupeMemory> dedupe_;
+  std::string address_;
+  unsigned short port_ = 0;
+  mutable std::mutex mutex_;
+  Faults faults_;
+  std::shared_ptr<net::Listener> listener_;
+  std::thread acceptor_;
+  std::atomic<int> life_ = 0, threads_ = 0;
+  Instant started_;
+  bool cold_ = false;
+  std::map<std::string, Held> held_;
+  std::map<std::string, Instant> released_early_;
+  std::set<std::uint64_t> kept_;
+  std::list<Instant> arrivals_;
+  Instant reading_until_;
+  int reading_ = 0, writing_ = 0, waiting_ = 0;
+  std::string last_report_;
+  std::mt19937 random_;
+};
+
+}  // namespace calicograde::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,186 @@
+// calicograde-lab: stand-ins, fleets brought up on loopback, and scripted days. Nothing here serves anybody.
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+#include "lab/client.hpp"
+#include "lab/day.hpp"
+#include "net/clock.hpp"
+#include "version.hpp"
+
+using namespace calicograde;
+
+namespace {
+
+std::optional<lab::Plan> plan_of(const std::string& file) {
+  if (file.empty()) return lab::small_plan();
+  std::vector<settings::Fault> faults;
+  const auto text = settings::read_file(file, faults);
+  auto plan = text ? lab::read_plan(file, *text, faults) : std::nullopt;
+  for (const auto& f : faults) std::fprintf(stderr, "%s\n", settings::text_of(f).c_str());
+  return plan;
+}
+
+class Folder {
+ public:
+  Folder() {
+    char name[] = "/tmp/calicograde-lab-XXXXXX";
+    path_ = mkdtemp(name) ? name : "/tmp";
+  }
+  ~Folder() {
+    std::error_code ignored;
+    if (path_ != "/tmp") std::filesystem::remove_all(path_, ignored);
+  }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+// Until SIGTERM, SIGINT or the end of standard input.
+void wait_for_end(int signals, const std::function<void()>& tick) {
+  for (;;) {
+    pollfd p[2] = {{signals, POLLIN, 0}, {0, POLLIN, 0}};
+    const int ready = ::poll(p, 2, 100);
+    tick();
+    if (ready <= 0) continue;
+    if (p[0].revents != 0) return;
+    char drop[256];
+    if (p[1].revents != 0 && ::read(0, drop, sizeof drop) <= 0) return;
+  }
+}
+
+int up(const lab::Plan& plan, const std::string& daemon, int signals) {
+  const Folder folder;
+  lab::Town town(plan, daemon, folder.path());
+  std::printf("%s\n", town.ready_line().c_str());
+  std::fflush(stdout);
+  wait_for_end(signals, [&] { town.tick(); });
+  return town.stop_fronts();
+}
+
+int engines(const lab::Plan& plan, int signals) {
+  lab::Recorder records;
+  const auto dedupe = std::make_shared<lab::DedupeMemory>();
+  std::vector<std::unique_ptr<lab::EngineStandin>> all;
+  nlohmann::ordered_json line;
+  for (const auto& o : plan.engines) {
+    all.push_back(std::make_unique<lab::EngineStandin>(o, records, dedupe));
+    line["engines"].push_back(
+        {{"address", all.back()->address()}, {"kind", o.kind}, {"zone", o.zone}, {"rack", o.rack}});
+  }
+  std::printf("%s\n", line.dump().c_str());
+  std::fflush(stdout);
+  wait_for_end(signals, [] {});
+  return 0;
+}
+
+int roster_server(const std::string& file, const std::string& late, int signals) {
+  std::vector<settings::Fault> faults;
+  const auto text = settings::read_file(file, faults);
+  const auto doc =
+      text ? roster::parse(*text) : std::variant<roster::Document, std::string>("cannot be read");
+  if (const auto* wrong = std::get_if<std::string>(&doc))
+    return std::fprintf(stderr, "%s: %s\n", file.c_str(), wrong->c_str()), 2;
+  lab::Recorder records;
+  lab::RosterStandin r(settings::parse_time(late).value_or(Span::millis(300)), records);
+  for (const auto& l : std::get<roster::Document>(doc).lines) r.change(l);
+  std::printf("{\"roster\":\"%s\"}\n", r.address().c_str());
+  std::fflush(stdout);
+  wait_for_end(signals, [] {});
+  return 0;
+}
+
+int clients(const std::string& front, const std::string& model, int count, int max_tokens) {
+  const auto at = net::parse_address(front);
+  if (!at) return std::fprintf(stderr, "'%s' is no address; write HOST:PORT\n", front.c_str()), 64;
+  lab::Recorder records;
+  int failed = 0;
+  for (int k = 0; k < count; ++k) {
+    lab::ClientCall c;
+    c.front = *at, c.front_name = front, c.route = model, c.mark = std::to_string(k),
+    c.text = "What do my points buy?";
+    c.max_tokens = max_tokens, c.budget = Span::millis(30000);
+    const auto end = lab::call(c, records);
+    std::printf("%d %s %s\n", k, end.how.c_str(), end.text.c_str());
+    failed += end.how != "completed";
+  }
+  return failed > 0 ? 1 : 0;
+}
+
+int day(const lab::Plan& plan, const std::string& daemon, const std::string& keep, int times) {
+  int worst = 0;
+  for (int k = 0; k < times; ++k) {
+    const Folder folder;
+    const auto r = lab::run_day(plan, daemon, folder.path(), keep);
+    std::printf("%s: %zu records checked; fronts exited %d; %zu calls found no front\n%s", plan.name.c_str(),
+                static_cast<std::size_t>(r.verdict.checks.at(1)), r.front_exit, r.unreachable,
+                lab::table(r.verdict).c_str());
+    std::fflush(stdout);
+    if (!r.verdict.breaches.empty() || r.front_exit != 0) worst = 1;
+  }
+  return worst;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{
+      "calicograde-lab: stand-ins and scripted days, on loopback.\nExit: 0 done, 1 a rule was broken or a "
+      "call failed, 2 the file has faults, 3 cannot start, 64 wrong usage."};
+  app.set_version_flag("--version", std::string("calicograde-lab ") + version);
+  app.require_subcommand(1);
+  std::string file, daemon = lab::daemon_beside_me(), keep, late = "300ms", front, model = "member-chat";
+  int times = 1, count = 1, max_tokens = 32;
+  auto* up_cmd = app.add_subcommand(
+      "up", "start engines, a roster and fronts; one line of JSON when ready; until SIGTERM or end of input");
+  up_cmd->add_option("FILE", file, "a day's file; without one: two readers, two writers, one front");
+  up_cmd->add_option("--daemon", daemon, "calicograded to start");
+  auto* day_cmd = app.add_subcommand(
+      "day", "play a scripted day through real fronts and check the five rules from the sockets");
+  day_cmd->add_option("FILE", file, "the day, XML")->required();
+  day_cmd->add_option("--daemon", daemon, "calicograded to start");
+  day_cmd->add_option("--keep", keep, "write what was seen to this file, JSON lines");
+  day_cmd->add_option("--times", times, "how often")->check(CLI::Range(1, 1000));
+  auto* engine_cmd = app.add_subcommand("engine", "start the stand-in engines of a file");
+  engine_cmd->add_option("FILE", file, "a day's file; without one: two readers, two writers");
+  auto* roster_cmd = app.add_subcommand("roster", "serve a roster document, and push it late");
+  roster_cmd->add_option("FILE", file, "the document, JSON")->required();
+  roster_cmd->add_option("--late", late, "how late changes are told");
+  auto* clients_cmd = app.add_subcommand("clients", "send messages to a front and print the answers");
+  clients_cmd->add_option("--front", front, "HOST:PORT")->required();
+  clients_cmd->add_option("--model", model, "the model to name");
+  clients_cmd->add_option("--count", count, "how many")->check(CLI::Range(1, 100000));
+  clients_cmd->add_option("--max-tokens", max_tokens, "of each answer")->check(CLI::Range(1, 100000));
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 64;
+  }
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM), sigaddset(&set, SIGINT);
+  if (*up_cmd || *engine_cmd || *roster_cmd) pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  net::lift_descriptor_limit();
+  const net::Fd signals(signalfd(-1, &set, SFD_CLOEXEC));
+  try {
+    if (*clients_cmd) return clients(front, model, count, max_tokens);
+    if (*roster_cmd) return roster_server(file, late, signals.get());
+    const auto plan = plan_of(file);
+    if (!plan) return 2;
+    if (*up_cmd) return up(*plan, daemon, signals.get());
+    if (*engine_cmd) return engines(*plan, signals.get());
+    return day(*plan, daemon, keep, times);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "calicograde-lab: %s\n", e.what());
+    return 3;
+  }
+}
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,267 @@
+#include "net/socket.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <sys/eventfd.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <boost/asio/error.hpp>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <memory>
+#include <stdexcept>
+
+#include "net/clock.hpp"
+#include "net/thread.hpp"
+
+namespace calicograde::net {
+namespace {
+
+int left_millis(Instant deadline) {
+  const Span left = deadline - clock_now();
+  if (left <= Span{}) return 0;
+  return static_cast<int>(std::min(left.as_millis() + 1, 600000.0));
+}
+
+union Where {
+  sockaddr any;
+  sockaddr_in v4;
+  sockaddr_in6 v6;
+};
+
+std::optional<std::pair<Where, socklen_t>> where(const Address& a) {
+  Where w;
+  std::memset(&w, 0, sizeof w);
+  if (inet_pton(AF_INET, a.host.c_str(), &w.v4.sin_addr) == 1) {
+    w.v4.sin_family = AF_INET, w.v4.sin_port = htons(a.port);
+    return std::pair{w, static_cast<socklen_t>(sizeof w.v4)};
+  }
+  if (inet_pton(AF_INET6, a.host.c_str(), &w.v6.sin6_addr) == 1) {
+    w.v6.sin6_family = AF_INET6, w.v6.sin6_port = htons(a.port);
+    return std::pair{w, static_cast<socklen_t>(sizeof w.v6)};
+  }
+  return std::nullopt;
+}
+
+boost::system::error_code last_error() { return {errno, boost::system::system_category()}; }
+
+}  // namespace
+
+Instant clock_now() {
+  timespec t{};
+  clock_gettime(CLOCK_MONOTONIC, &t);
+  return Instant::at(Span::micros(t.tv_sec * 1000000LL + t.tv_nsec / 1000));
+}
+
+bool start_thread(std::size_t stack_bytes, std::function<void()> body) {
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  stack_bytes *= 4;
+#endif
+  pthread_attr_t attr;
+  if (pthread_attr_init(&attr) != 0) return false;
+  pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+  pthread_attr_setstacksize(&attr, std::max<std::size_t>(stack_bytes, 65536));
+  auto held = std::make_unique<std::function<void()>>(std::move(body));
+  pthread_t id;
+  const int failed = pthread_create(
+      &id, &attr,
+      [](void* p) -> void* {
+        const std::unique_ptr<std::function<void()>> run(static_cast<std::function<void()>*>(p));
+        (*run)();
+        return nullptr;
+      },
+      held.get());
+  pthread_attr_destroy(&attr);
+  if (failed != 0) return false;
+  static_cast<void>(held.release());
+  return true;
+}
+
+void Fd::reset() {
+  if (fd_ >= 0) ::close(fd_);
+  fd_ = -1;
+}
+
+std::optional<Address> parse_address(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return std::nullopt;
+  std::string_view host = text.substr(0, colon), port = text.substr(colon + 1);
+  if (host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  else if (host.find(':') != std::string_view::npos) return std::nullopt;
+  Address a{std::string(host), 0};
+  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), a.port);
+  if (error != std::errc{} || end != port.data() + port.size() || host.empty()) return std::nullopt;
+  return a;
+}
+
+std::string text_of(const Address& a) {
+  const bool six = a.host.find(':') != std::string::npos;
+  return (six ? "[" + a.host + "]" : a.host) + ":" + std::to_string(a.port);
+}
+
+std::optional<Address> resolve(const Address& a) {
+  if (where(a)) return a;
+  addrinfo hints{}, *found = nullptr;
+  hints.ai_socktype = SOCK_STREAM;
+  if (getaddrinfo(a.host.c_str(), nullptr, &hints, &found) != 0 || !found) return std::nullopt;
+  char text[INET6_ADDRSTRLEN] = "";
+  if (found->ai_family == AF_INET)
+    inet_ntop(AF_INET, &reinterpret_cast<sockaddr_in*>(found->ai_addr)->sin_addr, text, sizeof text);
+  else inet_ntop(AF_INET6, &reinterpret_cast<sockaddr_in6*>(found->ai_addr)->sin6_addr, text, sizeof text);
+  freeaddrinfo(found);
+  return Address{text, a.port};
+}
+
+Stream::Stream(Fd fd) : fd_(std::move(fd)) {
+  const int one = 1;
+  setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+std::pair<ConnectEnd, Stream> Stream::connect(const Address& to, Instant deadline) {
+  const auto at = where(to);
+  if (!at) return {ConnectEnd::Unreachable, Stream{}};
+  Fd fd(::socket(at->first.any.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) return {ConnectEnd::NoDescriptor, Stream{}};
+  if (::connect(fd.get(), &at->first.any, at->second) != 0) {
+    if (errno == EADDRNOTAVAIL) return {ConnectEnd::NoDescriptor, Stream{}};
+    if (errno != EINPROGRESS)
+      return {errno == ECONNREFUSED ? ConnectEnd::Refused : ConnectEnd::Unreachable, Stream{}};
+    pollfd p{fd.get(), POLLOUT, 0};
+    int n = 0;
+    while ((n = ::poll(&p, 1, left_millis(deadline))) < 0 && errno == EINTR) {}
+    if (n == 0) return {ConnectEnd::TimedOut, Stream{}};
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return {error == ECONNREFUSED ? ConnectEnd::Refused : ConnectEnd::Unreachable, Stream{}};
+  }
+  return {ConnectEnd::Connected, Stream(std::move(fd))};
+}
+
+void Stream::reset_hard() {
+  if (!fd_) return;
+  const linger now{1, 0};
+  setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  fd_.reset();
+}
+
+void Stream::shut() const {
+  if (fd_) ::shutdown(fd_.get(), SHUT_RDWR);
+}
+
+bool Stream::stale() const {
+  pollfd p{fd_.get(), POLLIN | POLLRDHUP, 0};
+  return !fd_ || ::poll(&p, 1, 0) != 0;
+}
+
+std::size_t Stream::read(void* to, std::size_t most, boost::system::error_code& ec) {
+  ec = {};
+  for (;;) {
+    const ssize_t n = ::recv(fd_.get(), to, most, MSG_DONTWAIT);
+    if (n > 0) return bytes_read_ += static_cast<std::size_t>(n), static_cast<std::size_t>(n);
+    if (n == 0) return ec = boost::asio::error::eof, 0;
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN) return ec = last_error(), 0;
+    pollfd p[2] = {{fd_.get(), POLLIN, 0}, {watched_, POLLRDHUP, 0}};
+    const int ready = ::poll(p, watched_ >= 0 ? 2 : 1, left_millis(deadline_));
+    if (ready == 0 && clock_now() >= deadline_) return ec = boost::asio::error::timed_out, 0;
+    if (ready > 0 && watched_ >= 0 && p[1].revents != 0) return ec = boost::asio::error::operation_aborted, 0;
+  }
+}
+
+std::size_t Stream::write(const void* from, std::size_t size, boost::system::error_code& ec) {
+  ec = {};
+  for (;;) {
+    const ssize_t n = ::send(fd_.get(), from, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n >= 0) return bytes_written_ += static_cast<std::size_t>(n), static_cast<std::size_t>(n);
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN) return ec = last_error(), 0;
+    pollfd p{fd_.get(), POLLOUT, 0};
+    if (::poll(&p, 1, left_millis(deadline_)) == 0 && clock_now() >= deadline_)
+      return ec = boost::asio::error::timed_out, 0;
+  }
+}
+
+Listener::Listener(const Address& at, int backlog) {
+  const auto w = where(at);
+  const auto fail = [&](const char* what) {
+    throw std::runtime_error("cannot listen on " + text_of(at) + ": " + what);
+  };
+  if (!w) fail("no IPv4 or IPv6 address");
+  fd_ = Fd(::socket(w->first.any.sa_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!fd_) fail(std::strerror(errno));
+  const int one = 1;
+  setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (::bind(fd_.get(), &w->first.any, w->second) != 0) fail(std::strerror(errno));
+  if (::listen(fd_.get(), backlog) != 0) fail(std::strerror(errno));
+  Where got;
+  socklen_t size = sizeof got;
+  getsockname(fd_.get(), &got.any, &size);
+  port_ = ntohs(got.any.sa_family == AF_INET ? got.v4.sin_port : got.v6.sin6_port);
+  wake_ = Fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
+  spare_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+}
+
+std::optional<Stream> Listener::accept(Instant deadline) {
+  for (;;) {
+    pollfd p[2] = {{fd_.get(), POLLIN, 0}, {wake_.get(), POLLIN, 0}};
+    const int ready = ::poll(p, 2, left_millis(deadline));
+    if (ready > 0 && p[1].revents != 0) return std::nullopt;
+    if (ready <= 0) {
+      if (clock_now() >= deadline) return std::nullopt;
+      continue;
+    }
+    const int got = ::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC);
+    if (got >= 0) return Stream(Fd(got));
+    if (errno != EMFILE && errno != ENFILE) continue;
+    spare_.reset();
+    Stream turned_away(Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
+    turned_away.reset_hard();
+    spare_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+  }
+}
+
+void Listener::stop() {
+  const std::uint64_t one = 1;
+  static_cast<void>(!::write(wake_.get(), &one, sizeof one));
+}
+
+Wake::Wake() : fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+void Wake::raise() const {
+  const std::uint64_t one = 1;
+  static_cast<void>(!::write(fd_.get(), &one, sizeof one));
+}
+void Wake::clear() const {
+  std::uint64_t n = 0;
+  static_cast<void>(!::read(fd_.get(), &n, sizeof n));
+}
+
+Waited wait_for(const Wake& wake, int peer, Instant deadline) {
+  for (;;) {
+    pollfd p[2] = {{wake.fd(), POLLIN, 0}, {peer, POLLRDHUP, 0}};
+    const int ready = ::poll(p, peer >= 0 ? 2 : 1, left_millis(deadline));
+    if (ready > 0 && p[0].revents != 0) return wake.clear(), Waited::Woken;
+    if (ready > 0) return Waited::PeerLeft;
+    if (ready == 0 && clock_now() >= deadline) return Waited::TimedOut;
+  }
+}
+
+std::size_t lift_descriptor_limit() {
+  rlimit r{};
+  getrlimit(RLIMIT_NOFILE, &r);
+  r.rlim_cur = r.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &r);
+  getrlimit(RLIMIT_NOFILE, &r);
+  return static_cast<std::size_t>(r.rlim_cur);
+}
+
+}  // namespace calicograde::net
--- /dev/null
+++ b/src/net/socket.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/system/error_code.hpp>
+#include <boost/system/system_error.hpp>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/time.hpp"
+
+namespace calicograde::net {
+
+// An owned descriptor; closed when it goes.
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& o) noexcept : fd_(std::exchange(o.fd_, -1)) {}
+  Fd& operator=(Fd&& o) noexcept {
+    if (this != &o) reset(), fd_ = std::exchange(o.fd_, -1);
+    return *this;
+  }
+  ~Fd() { reset(); }
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+  void reset();
+
+ private:
+  int fd_ = -1;
+};
+
+// An address to connect to: IPv4 or IPv6 literal and port. Host names are looked up elsewhere, since the
+// look-up wants a large stack (see resolve).
+struct Address {
+  std::string host;
+  unsigned short port = 0;
+  auto operator<=>(const Address&) const = default;
+};
+// "127.0.0.1:80", "[::1]:80", "name:80"; none where the port is missing or out of range.
+std::optional<Address> parse_address(std::string_view text);
+std::string text_of(const Address& address);
+// The first address of a host name as a literal; none if it has none. Needs a stack of 256 KiB or more.
+std::optional<Address> resolve(const Address& address);
+
+enum class ConnectEnd { Connected, Refused, TimedOut, Unreachable, NoDescriptor };
+
+// A blocking byte stream whose every wait ends at a deadline. Meets Boost.Beast's SyncReadStream and
+// SyncWriteStream. Errors: asio's timed_out, eof, connection_reset, operation_aborted (the watched one left).
+class Stream {
+ public:
+  Stream() = default;
+  explicit Stream(Fd fd);
+  static std::pair<ConnectEnd, Stream> connect(const Address& to, Instant deadline);
+
+  void set_deadline(Instant deadline) { deadline_ = deadline; }
+  Instant deadline() const { return deadline_; }
+  // While set, a read ends with operation_aborted once the peer behind that descriptor has hung up.
+  void watch(int fd) { watched_ = fd; }
+  int fd() const { return fd_.get(); }
+  bool open() const { return static_cast<bool>(fd_); }
+  void close() { fd_.reset(); }
+  // Ends it at once with a reset, so that the other side learns of it without an orderly end.
+  void reset_hard();
+  // From any thread that keeps the stream alive: wakes whoever waits on it.
+  void shut() const;
+  // Whether the other side closed an idle connection or sent what nobody asked for.
+  bool stale() const;
+  std::size_t bytes_read() const { return bytes_read_; }
+  std::size_t bytes_written() const { return bytes_written_; }
+
+  template <class Buffers>
+  std::size_t read_some(const Buffers& buffers, boost::system::error_code& ec) {
+    for (auto it = boost::asio::buffer_sequence_begin(buffers);
+         it != boost::asio::buffer_sequence_end(buffers); ++it)
+      if (const boost::asio::mutable_buffer b = *it; b.size() > 0) return read(b.data(), b.size(), ec);
+    ec = {};
+    return 0;
+  }
+  template <class Buffers>
+  std::size_t read_some(const Buffers& buffers) {
+    boost::system::error_code ec;
+    const auto n = read_some(buffers, ec);
+    if (ec) throw boost::system::system_error(ec);
+    return n;
+  }
+  template <class Buffers>
+  std::size_t write_some(const Buffers& buffers, boost::system::error_code& ec) {
+    for (auto it = boost::asio::buffer_sequence_begin(buffers);
+         it != boost::asio::buffer_sequence_end(buffers); ++it)
+      if (const boost::asio::const_buffer b = *it; b.size() > 0) return write(b.data(), b.size(), ec);
+    ec = {};
+    return 0;
+  }
+  template <class Buffers>
+  std::size_t write_some(const Buffers& buffers) {
+    boost::system::error_code ec;
+    const auto n = write_some(buffers, ec);
+    if (ec) throw boost::system::system_error(ec);
+    return n;
+  }
+
+ private:
+  std::size_t read(void* to, std::size_t most, boost::system::error_code& ec);
+  std::size_t write(const void* from, std::size_t size, boost::system::error_code& ec);
+  Fd fd_;
+  Instant deadline_;
+  int watched_ = -1;
+  std::size_t bytes_read_ = 0, bytes_written_ = 0;
+};
+
+// A listening socket on an address; port 0 lets the kernel choose. Throws std::runtime_error with the address
+// and the cause.
+class Listener {
+ public:
+  explicit Listener(const Address& at, int backlog = 4096);
+  unsigned short port() const { return port_; }
+  // The next connection, or none at the deadline or after stop(). Where descriptors have run out the waiting
+  // one is accepted on a spare descriptor and closed, so that its client is told at once.
+  std::optional<Stream> accept(Instant deadline);
+  void stop();
+
+ private:
+  Fd fd_, wake_, spare_;
+  unsigned short port_ = 0;
+};
+
+// A flag that one thread raises and another polls for (eventfd).
+class Wake {
+ public:
+  Wake();
+  bool ok() const { return static_cast<bool>(fd_); }
+  void raise() const;
+  void clear() const;
+  int fd() const { return fd_.get(); }
+
+ private:
+  Fd fd_;
+};
+
+enum class Waited { Woken, PeerLeft, TimedOut };
+// Until the flag is raised, the peer hangs up, or the deadline.
+Waited wait_for(const Wake& wake, int peer, Instant deadline);
+
+// Lifts the soft limit of descriptors to the hard one; returns what it is now.
+std::size_t lift_descriptor_limit();
+
+}  // namespace calicograde::net
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,280 @@
+#include "settings/settings.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace calicograde::settings {
+namespace {
+
+class Reader {
+ public:
+  Reader(const std::string& file, std::vector<Fault>& faults) : file_(file), faults_(faults) {}
+
+  Front read(const Element& root) {
+    Front out;
+    if (const auto* zones = root.child("zones"))
+      for (const auto* z : zones->all("zone")) {
+        if (index(out.zones, z->text("name")) >= 0)
+          fault(*z, "zone '" + z->text("name") + "' stands twice", "remove one");
+        out.zones.push_back(z->text("name"));
+      }
+    if (out.zones.empty()) out.zones.push_back("default");
+    if (const auto* f = root.child("front")) front(*f, out);
+    std::map<std::string, int> seen;
+    for (const auto* p : root.all("pool")) {
+      const auto [it, fresh] = seen.emplace(p->text("name"), p->line);
+      if (!fresh)
+        fault(*p, "pool '" + p->text("name") + "' stands already in line " + std::to_string(it->second),
+              "give it another name");
+      out.pools.push_back(pool(*p, out));
+    }
+    for (const auto* r : root.all("route")) route(*r, out);
+    return out;
+  }
+
+ private:
+  void fault(const Element& at, std::string what, std::string mend) {
+    faults_.push_back({file_, at.line, std::move(what), std::move(mend)});
+  }
+  static int index(const std::vector<std::string>& names, const std::string& name) {
+    const auto it = std::find(names.begin(), names.end(), name);
+    return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+  }
+  std::size_t count(const Element& e, const char* name, std::size_t absent, double most) {
+    const double n = e.number(name, static_cast<double>(absent));
+    if (n > most)
+      fault(e,
+            std::string(name) + " is " + e.text(name) + ", more than " +
+                std::to_string(static_cast<long>(most)),
+            "lower it");
+    return static_cast<std::size_t>(std::min(n, most));
+  }
+
+  void front(const Element& e, Front& out) {
+    out.name = e.text("name");
+    out.number = static_cast<int>(e.number("number", 0));
+    out.of = static_cast<int>(e.number("of", 1));
+    out.seed = static_cast<std::uint64_t>(e.number("seed", 0));
+    if (out.number >= out.of)
+      fault(e, "front number " + std::to_string(out.number) + " of " + std::to_string(out.of),
+            "numbers go from 0 to one less than 'of'");
+    zone_ = index(out.zones, e.text("zone", out.zones.front()));
+    if (zone_ < 0) fault(e, "unknown zone '" + e.text("zone") + "'", "name it under <zones>"), zone_ = 0;
+    for (const auto* l : e.all("listen")) {
+      const auto a = net::parse_address(l->text("address"));
+      if (!a)
+        fault(*l, "'" + l->text("address") + "' is no address to listen on",
+              "write IP:PORT, port 0 to 65535");
+      else if (std::find(out.listen.begin(), out.listen.end(), *a) != out.listen.end() && a->port != 0)
+        fault(*l, l->text("address") + " is listened on twice", "remove one");
+      else out.listen.push_back(*a);
+    }
+    if (const auto* l = e.child("limits")) {
+      out.connections = count(*l, "connections", out.connections, 1e6);
+      out.held = count(*l, "held", out.held, 1e6);
+      out.sends = count(*l, "sends", out.sends, 1e6);
+      out.queue = count(*l, "queue", out.queue, 1e6);
+      out.http.header_bytes = l->size("header", out.http.header_bytes);
+      out.http.body_bytes = l->size("body", out.http.body_bytes);
+      out.stack = l->size("stack", out.stack);
+      if (out.stack < (64 << 10))
+        fault(*l, "a stack of " + l->text("stack") + " is too small", "give 64KiB or more");
+      if (out.http.header_bytes < 1024)
+        fault(*l, "header limit " + l->text("header") + " is too small for any client", "give 1KiB or more");
+      if (out.http.header_bytes > (1 << 20))
+        fault(*l, "header limit " + l->text("header") + " is over 1MiB", "lower it");
+      if (out.held > out.connections)
+        fault(*l,
+              "held (" + std::to_string(out.held) + ") is more than connections (" +
+                  std::to_string(out.connections) + ")",
+              "an inference needs a connection: lower held or raise connections");
+      if (out.queue < out.held)
+        fault(
+            *l,
+            "queue (" + std::to_string(out.queue) + ") is less than held (" + std::to_string(out.held) + ")",
+            "raise queue");
+    }
+    if (const auto* t = e.child("times")) {
+      out.http.idle = t->time("idle", out.http.idle);
+      out.http.head = t->time("header", out.http.head);
+      out.http.body = t->time("body", out.http.body);
+      out.http.write = t->time("write", out.http.write);
+      out.stream_silence = t->time("stream-silence", out.stream_silence);
+      out.ping = t->time("ping", out.ping);
+      out.stop = t->time("stop", out.stop);
+      for (const char* name : {"idle", "header", "body", "write", "stream-silence", "ping", "stop"})
+        if (t->attribute(name) && t->time(name, Span::millis(1)) <= Span{})
+          fault(*t, std::string(name) + " is 0", "every wait needs an end above 0");
+    }
+    if (const auto* b = e.child("budget")) out.budget_header = b->text("header");
+    if (const auto* l = e.child("log"))
+      out.log_level = l->text("level", "info"), out.log_file = l->text("file");
+  }
+
+  Pool pool(const Element& e, const Front& front) {
+    Pool out;
+    out.name = e.text("name");
+    Settings& s = out.routing;
+    bool reads = false, writes = false;
+    std::map<std::string, int> seen;
+    for (const auto* k : e.all("kind")) {
+      if (!seen.emplace(k->text("name"), k->line).second)
+        fault(*k, "kind '" + k->text("name") + "' stands twice in pool '" + out.name + "'", "remove one");
+      const std::string stage = k->text("stage");
+      EngineKind kind;
+      kind.stage = stage == "read" ? Stage::Read : stage == "write" ? Stage::Write : Stage::Both;
+      kind.memory_tokens = k->number("memory-tokens", 0);
+      reads |= kind.stage != Stage::Write, writes |= kind.stage != Stage::Read;
+      s.kinds.push_back(kind);
+      out.kinds.push_back(
+          {k->text("name"), k->flag("release", false), k->flag("places", false), k->flag("reports", false)});
+      if (kind.stage == Stage::Read && k->flag("places", false))
+        fault(*k, "kind '" + k->text("name") + "' only reads, yet offers places",
+              "places are held at writers: drop places");
+      if (kind.stage != Stage::Read && k->flag("places", false)) s.may_hold_places = true;
+    }
+    if (const auto* r = e.child("roster")) {
+      const auto* server = r->attribute("server");
+      out.roster_file = r->text("file");
+      out.roster_every = r->time("every", out.roster_every);
+      if (server) out.roster_server = net::parse_address(*server);
+      if ((server != nullptr) == !out.roster_file.empty())
+        fault(*r, "the roster of pool '" + out.name + "' needs one source", "give either server or file");
+      if (server && !out.roster_server) fault(*r, "'" + *server + "' is no address", "write HOST:PORT");
+      if (out.roster_every < Span::millis(10)) fault(*r, "every is under 10ms", "give 10ms or more");
+    }
+    const Element none;
+    const Element* rules = e.child("rules");
+    if (!rules) rules = &none;
+    const Span grace = rules->time("drain-grace", Span::millis(1000));
+    s.pin_limit = rules->time("pin-limit", Span::millis(500));
+    s.cold = rules->time("cold", Span::millis(12000));
+    s.cold_from = rules->number("cold-from", 0.25);
+    s.fall_multiple = rules->number("fall-multiple", 2.5);
+    s.fall = rules->time("fall", Span::millis(1500));
+    if (s.cold_from <= 0 || s.cold_from > 1)
+      fault(*rules, "cold-from is " + rules->text("cold-from"), "give a share above 0, at most 1");
+    if (s.pin_limit < Span::millis(150))
+      fault(*rules, "pin-limit is under 150ms",
+            "the module looks every 20ms and needs 60ms: give 150ms or more");
+    if (s.fall <= Span{})
+      fault(*rules, "fall is 0", "give the length of the window over which a cold engine falls");
+    const Element* sends = e.child("sends");
+    if (!sends) sends = &none;
+    s.max_sends = static_cast<int>(count(*sends, "most", 6, 100));
+    s.second_copies = sends->flag("second-copies", true);
+    s.may_cancel = sends->flag("cancel", true);
+    s.writers_read = sends->flag("writers-read", false);
+    s.sizes_told = sends->flag("sizes-told", false);
+    out.connect = sends->time("connect", out.connect);
+    s.link_idle = sends->time("link-idle", Span::millis(15000));
+    s.max_retry_after = sends->time("retry-after-most", Span::millis(1000));
+    s.retry_advice = s.max_retry_after > Span{};
+    if (out.connect >= grace)
+      fault(sends == &none ? e : *sends,
+            "connect is not below drain-grace: a send could reach an engine after the grace",
+            "lower connect or raise drain-grace");
+    if (out.connect <= Span{}) fault(*sends, "connect is 0", "give a time above 0");
+    reads |= s.writers_read;
+    if (!reads) fault(e, "no kind of pool '" + out.name + "' reads", "add a kind with stage read or both");
+    if (!writes) fault(e, "no kind of pool '" + out.name + "' writes", "add a kind with stage write or both");
+    if (const auto* p = e.child("prices"))
+      s.far_price = p->number("far", 0), s.zone_price = p->number("zone", 0);
+    s.fronts = front.of;
+    s.zone = static_cast<std::uint8_t>(zone_);
+    s.ask_within = Span::millis(10000);
+    return out;
+  }
+
+  void route(const Element& e, Front& out) {
+    Route r;
+    r.name = e.text("name"), r.model = e.text("model"), r.engine_model = e.text("engine-model");
+    r.timeout = e.time("route-timeout", Span::millis(10000));
+    r.timeout_per_1000_tokens = e.time("timeout-per-1000-tokens", Span{});
+    r.max_tokens = e.number("max-tokens", 0), r.line = e.line;
+    const std::string effect = e.text("effect");
+    r.effect = effect == "retriable" ? Effect::Retriable
+               : effect == "deduped" ? Effect::Deduped
+                                     : Effect::NonRetriable;
+    ModelRoute m;
+    m.first_token_target = e.time("first-token-target", Span::millis(1000));
+    m.target_per_1000_tokens = e.time("target-per-1000-tokens", Span{});
+    m.token_pace = e.time("token-pace", Span::millis(80));
+    m.effect = r.effect;
+    m.value = e.number("value", 1), m.late_value = e.number("late-value", 0.2);
+    const std::string group = e.text("dedupe-group", "rack");
+    m.dedupe_group = group == "all"    ? DedupeGroup::All
+                     : group == "zone" ? DedupeGroup::Zone
+                                       : DedupeGroup::Rack;
+    m.dedupe_window = e.time("dedupe-window", Span{});
+    if (r.effect == Effect::Deduped && m.dedupe_window <= Span{})
+      fault(e, "route '" + r.name + "' is deduped without a dedupe-window",
+            "say for how long engines drop repeats");
+    if (r.effect != Effect::Deduped && (e.attribute("dedupe-window") || e.attribute("dedupe-group")))
+      fault(e, "route '" + r.name + "' names a dedupe group or window, but is " + effect,
+            "drop them, or set effect to deduped");
+    if (m.first_token_target <= Span{}) fault(e, "first-token-target is 0", "give a time above 0");
+    if (r.timeout < m.first_token_target)
+      fault(e, "route-timeout is below first-token-target",
+            "nothing could be late but in time: raise route-timeout");
+    if (r.model.empty() || r.model.find('*') < r.model.size() - 1)
+      fault(e, "model '" + r.model + "' is no pattern", "write a name, or a prefix that ends in *");
+    for (const auto& other : out.routes) {
+      if (other.name == r.name)
+        fault(e, "route '" + r.name + "' stands already in line " + std::to_string(other.line),
+              "give it another name");
+      if (other.model == r.model)
+        fault(e,
+              "route '" + r.name + "' matches the same model '" + r.model + "' as route '" + other.name +
+                  "' in line " + std::to_string(other.line),
+              "give each its own model or prefix");
+      else if (other.model.ends_with('*') && takes(other.model, r.model))
+        fault(e,
+              "route '" + r.name + "' is never reached: route '" + other.name + "' in line " +
+                  std::to_string(other.line) + " takes its models first",
+              "move it above that line");
+    }
+    const auto at = std::find_if(out.pools.begin(), out.pools.end(),
+                                 [&](const Pool& p) { return p.name == e.text("pool"); });
+    if (at == out.pools.end()) {
+      fault(e, "unknown pool '" + e.text("pool") + "'",
+            out.pools.empty() ? "add a <pool>" : "use '" + out.pools.front().name + "' or add the pool");
+    } else {
+      r.pool = static_cast<std::size_t>(at - out.pools.begin());
+      r.number = static_cast<std::uint16_t>(at->routing.routes.size());
+      at->routing.routes.push_back(m);
+    }
+    out.routes.push_back(std::move(r));
+  }
+
+  const std::string& file_;
+  std::vector<Fault>& faults_;
+  int zone_ = 0;
+};
+
+}  // namespace
+
+bool takes(std::string_view pattern, std::string_view model) {
+  if (!pattern.ends_with('*')) return pattern == model;
+  pattern.remove_suffix(1);
+  return model.starts_with(pattern);
+}
+
+std::optional<Front> load(const std::string& file, std::string_view text, std::vector<Fault>& faults) {
+  const auto before = faults.size();
+  const auto root = read_xml(file, text, schema(), faults);
+  if (!root) return std::nullopt;
+  Front out = Reader(file, faults).read(*root);
+  std::stable_sort(faults.begin() + static_cast<std::ptrdiff_t>(before), faults.end(),
+                   [](const Fault& a, const Fault& b) { return a.line < b.line; });
+  if (faults.size() > before) return std::nullopt;
+  return out;
+}
+
+std::optional<Front> load_file(const std::string& file, std::vector<Fault>& faults) {
+  const auto text = read_file(file, faults);
+  return text ? load(file, *text, faults) : std::nullopt;
+}
+
+}  // namespace calicograde::settings
--- /dev/null
+++ b/src/settings/settings.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/types.hpp"
+#include "http/http.hpp"
+#include "net/socket.hpp"
+#include "settings/xml.hpp"
+
+namespace calicograde::settings {
+
+// What an engine of a kind offers beside the public calls (docs/front.md, "The extension").
+struct KindOffers {
+  std::string name;
+  bool release = false, places = false, reports = false;
+};
+
+struct Pool {
+  std::string name;
+  Settings routing;  // what the module of this pool is started with
+  std::vector<KindOffers> kinds;
+  std::optional<net::Address> roster_server;
+  std::string roster_file;
+  Span roster_every = Span::millis(500);
+  Span connect = Span::millis(250);
+};
+
+struct Route {
+  std::string name, model, engine_model;  // model: exact, or a prefix ending in *
+  std::size_t pool = 0;                   // in Front::pools
+  std::uint16_t number = 0;               // among the pool's routes
+  Span timeout, timeout_per_1000_tokens;
+  Effect effect = Effect::Retriable;
+  double max_tokens = 0;  // 0 = as the client says
+  int line = 0;
+};
+
+struct Front {
+  std::string name;
+  int number = 0, of = 1;
+  std::uint64_t seed = 0;
+  std::vector<std::string> zones;
+  std::vector<net::Address> listen;
+  http::Limits http;
+  std::size_t connections = 4096, held = 4096, sends = 4096, queue = 16384, stack = 128 << 10;
+  Span stream_silence = Span::millis(30000), ping = Span::millis(10000), stop = Span::millis(20000);
+  std::string budget_header = "x-budget-ms";
+  std::string log_level = "info", log_file;
+  std::vector<Pool> pools;
+  std::vector<Route> routes;
+};
+
+// Reads, checks against the schema, then for sense. All faults are appended; none is returned if there is
+// one.
+std::optional<Front> load(const std::string& file, std::string_view text, std::vector<Fault>& faults);
+std::optional<Front> load_file(const std::string& file, std::vector<Fault>& faults);
+std::string_view schema();
+
+// Whether a route's model takes what a client names.
+bool takes(std::string_view pattern, std::string_view model);
+
+}  // namespace calicograde::settings
