--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -85,7 +85,8 @@
     if (!proves_unrun(e.as)) c->holdings.push_back({s.engine, s.name, {}, false});
     release(*c, [&](const Holding& h) { return h.name == s.name; });
   } else if (e.no_state || e.as == EndedAs::Completed) {
-    std::erase_if(c->holdings, [](const Holding& h) { return !h.place && !h.params.empty(); });
+    // Let go by name all the same: an engine may be wrong about what another holds.
+    release(*c, [](const Holding& h) { return !h.place && !h.params.empty(); });
   }
   // A place at the engine that failed or refused is not relied on any more.
   if (s.leg != Leg::Read && e.as != EndedAs::Completed)
--- /dev/null
+++ b/tests/program/cases_test.cpp
@@ -0,0 +1,249 @@
+#include "front/cases.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+#include <set>
+
+#include "front/claim.hpp"
+#include "routing/router.hpp"
+
+namespace calicograde::front {
+namespace {
+
+constexpr Span ms(std::int64_t n) { return Span::millis(n); }
+EngineId eng(int n) { return {{10, 0, 0, static_cast<std::uint8_t>(n)}, 80}; }
+
+Settings settings() {
+  Settings s;
+  ModelRoute r;
+  r.first_token_target = ms(500), r.token_pace = ms(50), r.late_value = 0.2, r.dedupe_window = ms(1500);
+  for (const Effect e : {Effect::Retriable, Effect::Deduped, Effect::NonRetriable})
+    r.effect = e, s.routes.push_back(r);
+  s.kinds = {{Stage::Read, 100000}, {Stage::Write, 50000}, {Stage::Both, 50000}};
+  s.may_cancel = s.second_copies = s.retry_advice = s.may_hold_places = true;
+  s.max_sends = 6, s.max_retry_after = ms(1000), s.pin_limit = ms(300);
+  s.cold = ms(3000), s.cold_from = 0.25, s.fall_multiple = 2.5, s.fall = ms(1000), s.link_idle = ms(15000);
+  return s;
+}
+
+// Stands where the sockets would: carries out orders against engines that answer as chance has it, and keeps
+// its own count of what each engine holds and what each client was told.
+class World {
+ public:
+  explicit World(std::uint32_t seed) : chance(seed), router(seed, settings()), cases("f", settings()) {
+    cases.offers({true, true, true});
+    FleetListed list{ListScope::Full, 1, {}};
+    for (int k = 0; k < 6; ++k) {
+      EngineEntry e;
+      e.engine = eng(k),
+      e.kind = static_cast<std::uint8_t>(k < 2   ? 0
+                                         : k < 5 ? 1
+                                                 : 2),
+      e.rack = static_cast<std::uint16_t>(k % 2);
+      list.entries.push_back(e);
+    }
+    cases.listed(list);
+    feed(Event(list));
+  }
+
+  struct Out {
+    StartSend order;
+    bool started = false;
+  };
+  std::mt19937 chance;
+  Router router;
+  Cases cases;
+  Instant now = Instant::at(ms(1000));
+  std::map<InfId, Claim> clients;
+  std::map<InfId, int> finals;
+  std::vector<Out> out;
+  std::vector<std::pair<InfId, AskPlace>> questions;
+  std::set<std::pair<EngineId, std::string>> held;
+  std::vector<std::pair<Instant, std::uint64_t>> timers;
+  InfId next = 1;
+
+  void feed(const Event& first) {
+    std::vector<Event> events{first};
+    for (std::size_t k = 0; k < events.size(); ++k) {
+      std::vector<Event> more;
+      const Event e = events[k];
+      cases.obey(now, router.handle(now, e), more);
+      events.insert(events.end(), more.begin(), more.end());
+      orders();
+    }
+  }
+  void pass_on(const std::optional<Event>& e) {
+    if (e) feed(*e);
+    else orders();
+  }
+  void orders() {
+    for (Order& o : cases.take_orders()) {
+      if (auto* s = std::get_if<StartSend>(&o)) {
+        RC_ASSERT(finals[s->inf] == 0);  // rule 1: nothing after the final answer
+        RC_ASSERT(s->until <= ends.at(s->inf));
+        RC_ASSERT((s->leg == engines::Leg::Write) == !s->state.empty());
+        out.push_back({*s});
+      } else if (auto* a = std::get_if<AskPlace>(&o)) {
+        questions.emplace_back(a->inf, *a);
+      } else if (auto* r = std::get_if<Release>(&o)) {
+        held.erase({r->engine, r->name});
+      } else if (auto* f = std::get_if<Answer>(&o)) {
+        if (clients[f->inf].answer()) final(f->inf);
+      } else if (auto* t = std::get_if<ArmTimer>(&o)) {
+        timers.emplace_back(now + t->in, t->token);
+      } else if (auto* x = std::get_if<StopSend>(&o)) {
+        for (std::size_t k = 0; k < out.size(); ++k)
+          if (out[k].order.inf == x->inf && out[k].order.send == x->send && !out[k].started)
+            return end(k, EndedAs::Cancelled);
+      }
+    }
+  }
+  void final(InfId inf) { RC_ASSERT(++finals[inf] == 1); }
+
+  std::map<InfId, Instant> ends;
+  void arrive() {
+    Arrived a;
+    a.inf = next++, a.route = static_cast<std::uint16_t>(chance() % 3), a.budget = ms(20 + chance() % 2000);
+    a.prompt_tokens = 500, a.max_answer_tokens = 50, a.session = chance() % 5 + 1;
+    ends[a.inf] = now + a.budget;
+    clients[a.inf];
+    pass_on(cases.take(now, a));
+  }
+
+  void end(std::size_t k, EndedAs as, bool no_state = false) {
+    const Out o = out[k];
+    out.erase(out.begin() + static_cast<std::ptrdiff_t>(k));
+    Ending e;
+    e.as = as, e.no_state = no_state, e.answered = o.started;
+    if (as == EndedAs::ReadDone)
+      e.state = "{\"s\":\"" + o.order.name + "\"}", held.emplace(o.order.engine, o.order.name);
+    // A read whose answer was lost may be held all the same.
+    if (o.order.leg == engines::Leg::Read && as == EndedAs::Reset && chance() % 2 == 0)
+      held.emplace(o.order.engine, o.order.name);
+    if (o.started) final(o.order.inf);
+    pass_on(cases.ended(now, o.order.inf, o.order.send, e));
+    cases.tidy(o.order.inf);
+    orders();
+  }
+
+  void start(std::size_t k) {
+    Out& o = out[k];
+    // The state is fetched: the reader lets go of it by itself.
+    std::erase_if(held, [&](const auto& h) {
+      return o.order.state.find("\"" + h.second + "\"") != std::string::npos || h.second == o.order.place;
+    });
+    if (!clients[o.order.inf].stream(o.order.send)) return end(k, EndedAs::Cancelled);
+    o.started = true;
+    pass_on(cases.started(now, o.order.inf, o.order.send));
+  }
+
+  void step() {
+    now = now + ms(static_cast<std::int64_t>(chance() % 30));
+    std::vector<Event> late;
+    cases.overdue(now, late);
+    orders();
+    for (const auto& e : late) feed(e);
+    const auto due = timers;
+    timers.clear();
+    for (const auto& t : due) t.first <= now ? feed(Event(TimerFired{t.second})) : timers.push_back(t);
+    if (!questions.empty() && chance() % 2 == 0) {
+      const auto [inf, q] = questions.back();
+      questions.pop_back();
+      const bool yes = chance() % 2 == 0;
+      if (yes) held.emplace(q.engine, q.name);
+      pass_on(cases.place_answered(inf, q.engine, q.name, yes));
+    }
+    if (chance() % 20 == 0 && next > 1) {
+      const InfId inf = 1 + static_cast<InfId>(chance()) % (next - 1);
+      if (clients[inf].leave()) ++finals[inf], pass_on(cases.client_left(inf)), cases.tidy(inf), orders();
+    }
+    if (out.empty()) return;
+    const std::size_t k = chance() % out.size();
+    if (out[k].started) return end(k, chance() % 4 == 0 ? EndedAs::Reset : EndedAs::Completed);
+    switch (chance() % 10) {
+      case 0: return end(k, EndedAs::Reset);
+      case 1: return end(k, EndedAs::Full, chance() % 3 == 0 && out[k].order.leg == engines::Leg::Write);
+      case 2: return end(k, EndedAs::Errored);
+      case 3: return end(k, EndedAs::ConnectFailed);
+      case 4: return end(k, now >= out[k].order.until ? EndedAs::TimedOut : EndedAs::Moot);
+      default: out[k].order.leg == engines::Leg::Read ? end(k, EndedAs::ReadDone) : start(k);
+    }
+  }
+};
+
+// Everything that can cross: outcomes, streams, sheds, clients that leave, places answered late, lost
+// answers.
+RC_GTEST_PROP(Cases, EachInferenceEndsOnceAndNothingStaysHeld, (std::uint32_t seed)) {
+  World w(seed);
+  for (int k = 0; k < 150; ++k) {
+    if (k < 100 && w.chance() % 3 == 0) w.arrive();
+    w.step();
+  }
+  for (int k = 0; k < 3000 && (w.cases.open() > 0 || !w.out.empty() || !w.questions.empty()); ++k) w.step();
+  RC_ASSERT(w.cases.open() == 0u);
+  RC_ASSERT(w.held.empty());
+  for (const auto& [inf, end] : w.ends) RC_ASSERT(w.finals[inf] == 1);
+}
+
+TEST(Cases, AReadWhoseAnswerWasLostIsLetGoByName) {
+  Cases c("f", settings());
+  c.offers({true, true, true});
+  EngineEntry e;
+  e.engine = eng(1), e.kind = 0;
+  c.listed({ListScope::Full, 1, {e}});
+  const Instant t = Instant::at(ms(1));
+  Arrived a;
+  a.inf = 7, a.budget = ms(1000);
+  c.take(t, a);
+  std::vector<Event> more;
+  c.obey(t, {SendTo{7, eng(1), {}}}, more);
+  c.take_orders();
+  c.ended(t, 7, 0, Ending{.as = EndedAs::Reset, .state = {}, .report = {}});
+  const auto orders = c.take_orders();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(std::get<Release>(orders[0]).name, "f.7.0");
+}
+
+TEST(Cases, APlaceGrantedAfterItWasLetGoIsLetGoOnceMore) {
+  Cases c("f", settings());
+  c.offers({true, true, true});
+  EngineEntry e;
+  e.engine = eng(3), e.kind = 1;
+  c.listed({ListScope::Full, 1, {e}});
+  EXPECT_FALSE(c.place_answered(9, eng(3), "f.9.p0", true));
+  EXPECT_EQ(c.take_orders().size(), 1u);
+  EXPECT_FALSE(c.place_answered(9, eng(3), "f.9.p0", false));
+  EXPECT_TRUE(c.take_orders().empty());
+}
+
+TEST(Cases, ABudgetThatEndsIsAnsweredHereIfTheModuleDoesNot) {
+  Cases c("f", settings());
+  const Instant t = Instant::at(ms(1));
+  Arrived a;
+  a.inf = 7, a.budget = ms(100);
+  c.take(t, a);
+  EXPECT_EQ(c.next_end(), t + ms(100));
+  std::vector<Event> events;
+  c.overdue(t + ms(99), events);
+  EXPECT_TRUE(events.empty());
+  c.overdue(t + ms(100), events);
+  ASSERT_EQ(events.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<ClientLeft>(events[0]));
+  EXPECT_FALSE(std::get<Answer>(c.take_orders()[0]).shed);
+  EXPECT_EQ(c.open(), 0u);
+}
+
+TEST(Claim, TheFirstOneSpeaks) {
+  for (int first = 0; first < 3; ++first)
+    for (int second = 0; second < 3; ++second) {
+      Claim c;
+      const auto act = [&](int k) { return k == 0 ? c.stream(1) : k == 1 ? c.answer() : c.leave(); };
+      EXPECT_TRUE(act(first));
+      EXPECT_FALSE(act(second));
+    }
+}
+
+}  // namespace
+}  // namespace calicograde::front
--- /dev/null
+++ b/tests/program/messages_test.cpp
@@ -0,0 +1,115 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "http/http.hpp"
+#include "intake/intake.hpp"
+#include "messages/call.hpp"
+
+namespace calicograde::messages {
+namespace {
+
+Call good(const std::string& body) {
+  auto parsed = parse_call(body);
+  if (const auto* e = std::get_if<ApiError>(&parsed)) ADD_FAILURE() << e->message;
+  return std::get_if<Call>(&parsed) ? std::get<Call>(parsed) : Call{};
+}
+std::string refusal(const std::string& body) {
+  const auto parsed = parse_call(body);
+  const auto* e = std::get_if<ApiError>(&parsed);
+  EXPECT_TRUE(e && e->status == 400 && e->type == "invalid_request_error");
+  return e ? e->message : "";
+}
+std::string with(const std::string& more) {
+  return R"({"model":"m","max_tokens":5,"messages":[{"role":"user","content":"hi"}])" + more + "}";
+}
+
+TEST(Messages, TextsComeAsStringsOrBlocks) {
+  const auto c =
+      good(R"({"model":"m","max_tokens":5,"stream":true,"metadata":{"user_id":"u"},"stop_sequences":["X"],
+    "system":[{"type":"text","text":"Be "},{"type":"text","text":"kind.","cache_control":{"type":"ephemeral"}}],
+    "messages":[{"role":"user","content":[{"type":"text","text":"Rules. ","cache_control":{"type":"ephemeral"}},{"type":"text","text":"Hi"}]},
+                {"role":"assistant","content":"Yes?"},{"role":"user","content":"a"},{"role":"user","content":"b"}]})");
+  EXPECT_EQ(c.prompt.system, "Be kind.");
+  EXPECT_EQ(c.opening, "Be kind.Rules. ");
+  ASSERT_EQ(c.prompt.turns.size(), 3u);
+  EXPECT_EQ(c.prompt.turns[2].text, "a\nb");
+  EXPECT_TRUE(c.stream && c.user_id == "u" && c.prompt.stops.size() == 1);
+}
+
+TEST(Messages, WhatIsNotSupportedIsRefusedByName) {
+  EXPECT_NE(refusal(with(R"(,"tools":[])")).find("tools"), std::string::npos);
+  EXPECT_NE(refusal(with(R"(,"thinking":{})")).find("thinking"), std::string::npos);
+  EXPECT_NE(
+      refusal(
+          R"({"model":"m","max_tokens":5,"messages":[{"role":"user","content":[{"type":"image","source":{}}]}]})")
+          .find("messages.0.content.0: content blocks of type 'image'"),
+      std::string::npos);
+  EXPECT_NE(refusal(R"({"model":"m","messages":[{"role":"user","content":"x"}]})").find("max_tokens"),
+            std::string::npos);
+  EXPECT_NE(refusal(with(R"(,"temperature":7)")).find("temperature"), std::string::npos);
+  for (const char* bad : {"", "[", "[]", "null", "7", "\"x\"", "{\"model\":7}", "{\"messages\":{}}"})
+    refusal(bad);
+  refusal(std::string(100000, '['));
+  refusal(R"({"model":"m","max_tokens":0,"messages":[{"role":"user","content":"x"}]})");
+  refusal(R"({"model":"m","max_tokens":5,"messages":[{"role":"assistant","content":"x"}]})");
+  refusal(R"({"model":"m","max_tokens":5,"messages":[]})");
+}
+
+RC_GTEST_PROP(Messages, NoBodyMakesTheParserFail, (const std::string& text)) {
+  parse_call(text);
+  parse_call(with(",\"system\":" + text));
+}
+
+TEST(Messages, EventsHaveTheNamesOfTheApi) {
+  const AnswerWriter w("msg_1", "m");
+  http::EventReader reader;
+  std::vector<http::ServerEvent> events;
+  const std::string all = w.begin({100, 60, 0}) + w.delta("a\"\n\xff") + AnswerWriter::ping() +
+                          w.end(StopReason::StopSequence, "X", {100, 60, 3}) +
+                          AnswerWriter::error(overloaded("full"));
+  for (const char c : all) ASSERT_TRUE(reader.feed(std::string(1, c), events));  // one byte at a time
+  std::string names;
+  for (const auto& e : events) names += e.event + " ";
+  EXPECT_EQ(names,
+            "message_start content_block_start content_block_delta ping content_block_stop message_delta "
+            "message_stop error ");
+  EXPECT_NE(events[0].data.find(
+                R"("input_tokens":40,"cache_creation_input_tokens":0,"cache_read_input_tokens":60)"),
+            std::string::npos);
+  EXPECT_NE(events[5].data.find(R"("stop_reason":"stop_sequence","stop_sequence":"X")"), std::string::npos);
+  EXPECT_NE(events[7].data.find("overloaded_error"), std::string::npos);
+}
+
+TEST(Intake, SessionsAndOpeningsHaveKeysThatHold) {
+  Prompt first{"sys", {{false, "hello"}}, 1, {}, {}, {}, {}}, later = first;
+  later.turns.push_back({true, "hi"}), later.turns.push_back({false, "more"});
+  EXPECT_EQ(intake::session_key("u", first), intake::session_key("u", later));
+  EXPECT_NE(intake::session_key("u", first), intake::session_key("v", first));
+  const std::string opening(1000, 'x');
+  EXPECT_EQ(intake::shared_key("m", opening), intake::shared_key("m", opening));
+  EXPECT_NE(intake::shared_key("m", opening), intake::shared_key("n", opening));
+  EXPECT_EQ(intake::shared_key("m", "short"), 0u);
+}
+
+TEST(Intake, EstimatesFollowWhatEnginesReport) {
+  intake::TokenMeter m;
+  EXPECT_DOUBLE_EQ(m.estimate("a", 400), 100);
+  for (int k = 0; k < 100; ++k) m.learn("a", 200, 100);
+  EXPECT_DOUBLE_EQ(m.estimate("a", 400), 200);
+  // An engine that reports nonsense must not turn every later estimate into nonsense.
+  m.learn("a", 10, 1e9), m.learn("a", 1000000, 1), m.learn("a", 0, 5);
+  EXPECT_DOUBLE_EQ(m.estimate("a", 400), 200);
+  EXPECT_DOUBLE_EQ(m.estimate("b", 400), 100);
+}
+
+TEST(Intake, ABudgetIsShortenedNeverMadeLonger) {
+  const intake::BudgetRule rule{Span::millis(4000), Span::millis(100)};
+  EXPECT_EQ(intake::budget(rule, 2000, ""), Span::millis(4200));
+  EXPECT_EQ(intake::budget(rule, 0, "1500"), Span::millis(1500));
+  EXPECT_EQ(intake::budget(rule, 0, "1.5s"), Span::millis(1500));
+  EXPECT_EQ(intake::budget(rule, 0, "99s"), Span::millis(4000));
+  for (const char* bad : {"soon", "-5", "5m", "nan"}) EXPECT_FALSE(intake::budget(rule, 0, bad)) << bad;
+}
+
+}  // namespace
+}  // namespace calicograde::messages
