--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -12,6 +12,7 @@
 #include "front/core.hpp"
 #include "front/messages_front.hpp"
 #include "front/server.hpp"
+#include "front/tools_front.hpp"
 #include "net/clock.hpp"
 #include "version.hpp"
 
@@ -44,6 +45,7 @@
     front::Core core(*settings, log);
     std::vector<std::unique_ptr<front::Protocol>> protocols;
     protocols.push_back(front::messages_front(core));
+    if (settings->tools) protocols.push_back(front::tools_front(core));
     front::Server server(core, std::move(protocols));
     core.start();
     // A front that no roster has told of any engine yet can only shed; it listens once one has, or after a
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -83,6 +83,11 @@
   bool stopped_ = false;
 };
 
+struct Detach {
+  SendControl& control;
+  ~Detach() { control.detach(); }
+};
+
 // Addresses of the engines of one pool, literal; written by the roster's follower, read by the sends.
 class AddressBook {
  public:
@@ -478,6 +483,9 @@
   bool talk(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control, const net::Address& at,
             http::ClientConnection& link, SendFacts& facts, Ending& ending) {
     if (!control.attach(link.stream())) return false;
+    // A stop must not reach for a socket that has gone (found by TSan: the link ended before its control let
+    // go).
+    const Detach at_the_end{control};
     const Asked& asked = ticket.asked();
     const auto& route = settings.routes[asked.route];
     const std::string body =
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -122,9 +122,14 @@
     const std::lock_guard lock(idle_mutex_);
     for (const net::Stream* s : idle_) s->shut();
   }
-  while (core_.counts().open > 0 && net::clock_now() < deadline) usleep(2000);
-  const bool clean = core_.counts().open == 0;
-  if (!clean) core_.abort_all();
+  const auto in_work = [&] {
+    std::size_t n = core_.counts().open;
+    for (const auto& p : protocols_) n += p->open();
+    return n;
+  };
+  while (in_work() > 0 && net::clock_now() < deadline) usleep(2000);
+  const bool clean = in_work() == 0;
+  core_.abort_all();  // streams that only listen end with it too
   const Instant last = net::clock_now() + Span::millis(3000);
   while (open_ > 0 && net::clock_now() < last) usleep(1000);
   return clean;
--- a/src/front/server.hpp
+++ b/src/front/server.hpp
@@ -27,6 +27,8 @@
   virtual ~Protocol() = default;
   virtual bool takes(const std::string& path) const = 0;
   virtual bool serve(const http::Request& request, Visit& visit) = 0;
+  // What it has in work, beside the core's inferences.
+  virtual std::size_t open() const { return 0; }
   // What is no HTTP, too large or too slow; and paths that nobody takes.
   virtual void refuse(int status, const std::string& what, Visit& visit) = 0;
 };
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -147,6 +147,7 @@
   beast::flat_buffer buffer;
   std::optional<bh::response_parser<bh::buffer_body>> parser;
   bool whole = true;
+  bool in_head = false;  // a head has begun to come: its parser goes on where a wait was broken off
 };
 
 ClientConnection::ClientConnection(net::Stream stream)
@@ -168,13 +169,16 @@
 
 BodyEnd ClientConnection::read_head(Response& out, Instant deadline) {
   stream_.set_deadline(deadline);
-  parts_->parser.emplace();
-  parts_->parser->header_limit(32 << 10);
-  parts_->parser->body_limit(boost::none);
+  if (!std::exchange(parts_->in_head, true)) {
+    parts_->parser.emplace();
+    parts_->parser->header_limit(32 << 10);
+    parts_->parser->body_limit(boost::none);
+  }
   boost::system::error_code ec;
   bh::read_header(stream_, parts_->buffer, *parts_->parser, ec);
   if (ec == boost::asio::error::timed_out) return BodyEnd::TimedOut;
   if (ec == boost::asio::error::operation_aborted) return BodyEnd::Aborted;
+  parts_->in_head = false;
   if (ec) return BodyEnd::Broken;
   out.status = static_cast<int>(parts_->parser->get().result_int());
   out.headers = take_headers(parts_->parser->get().base());
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -171,10 +171,12 @@
     if (n == 0) return ec = boost::asio::error::eof, 0;
     if (errno == EINTR) continue;
     if (errno != EAGAIN) return ec = last_error(), 0;
-    pollfd p[2] = {{fd_.get(), POLLIN, 0}, {watched_, POLLRDHUP, 0}};
-    const int ready = ::poll(p, watched_ >= 0 ? 2 : 1, left_millis(deadline_));
+    // A descriptor below 0 is passed over by poll.
+    pollfd p[3] = {{fd_.get(), POLLIN, 0}, {watched_, POLLRDHUP, 0}, {wake_, POLLIN, 0}};
+    const int ready = ::poll(p, 3, left_millis(deadline_));
     if (ready == 0 && clock_now() >= deadline_) return ec = boost::asio::error::timed_out, 0;
-    if (ready > 0 && watched_ >= 0 && p[1].revents != 0) return ec = boost::asio::error::operation_aborted, 0;
+    if (ready > 0 && (p[1].revents != 0 || p[2].revents != 0))
+      return ec = boost::asio::error::operation_aborted, 0;
   }
 }
 
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -58,8 +58,9 @@
 
   void set_deadline(Instant deadline) { deadline_ = deadline; }
   Instant deadline() const { return deadline_; }
-  // While set, a read ends with operation_aborted once the peer behind that descriptor has hung up.
-  void watch(int fd) { watched_ = fd; }
+  // While set, a read ends with operation_aborted once the peer behind that descriptor has hung up, or once
+  // the wake is raised; -1 = neither.
+  void watch(int peer, int wake = -1) { watched_ = peer, wake_ = wake; }
   int fd() const { return fd_.get(); }
   bool open() const { return static_cast<bool>(fd_); }
   void close() { fd_.reset(); }
@@ -108,7 +109,7 @@
   std::size_t write(const void* from, std::size_t size, boost::system::error_code& ec);
   Fd fd_;
   Instant deadline_;
-  int watched_ = -1;
+  int watched_ = -1, wake_ = -1;
   std::size_t bytes_read_ = 0, bytes_written_ = 0;
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -30,6 +30,7 @@
       out.pools.push_back(pool(*p, out));
     }
     for (const auto* r : root.all("route")) route(*r, out);
+    if (const auto* t = root.child("tools")) out.tools = tools(*t);
     return out;
   }
 
@@ -248,6 +249,56 @@
     out.routes.push_back(std::move(r));
   }
 
+  Tools tools(const Element& e) {
+    Tools out;
+    out.path = e.text("path", out.path);
+    if (!out.path.starts_with('/') || out.path.starts_with("/v1/"))
+      fault(e, "path '" + out.path + "' can't be served",
+            "begin it with /, and not with /v1/, where messages are");
+    out.sessions = count(e, "sessions", out.sessions, 1e6);
+    out.kept_bytes = e.size("kept", out.kept_bytes);
+    out.desk.most_sends = static_cast<int>(count(e, "most-sends", 3, 100));
+    out.list_every = e.time("list-every", out.list_every);
+    if (out.list_every < Span::millis(10)) fault(e, "list-every is under 10ms", "give 10ms or more");
+    for (const auto* o : e.all("origin")) out.origins.push_back(o->text("allow"));
+    for (const auto* s : e.all("server")) {
+      const auto at = net::parse_address(s->text("address"));
+      if (!at) fault(*s, "'" + s->text("address") + "' is no address", "write HOST:PORT");
+      for (const auto& other : out.servers)
+        if (other.name == s->text("name"))
+          fault(*s, "tool server '" + other.name + "' stands twice", "give it another name");
+      out.servers.push_back({s->text("name"), s->text("path", "/mcp"), at.value_or(net::Address{})});
+      out.desk.most_calls.push_back(count(*s, "calls", 64, 1e5));
+    }
+    for (const auto* t : e.all("tool")) {
+      tools::ToolRule r;
+      r.pattern = t->text("name");
+      const std::string effect = t->text("effect");
+      r.effect = effect == "retriable" ? Effect::Retriable
+                 : effect == "deduped" ? Effect::Deduped
+                                       : Effect::NonRetriable;
+      r.dedupe_window = t->time("dedupe-window", {}), r.time_out = t->time("time-out", r.time_out);
+      r.most_at_once = count(*t, "at-once", r.most_at_once, 1e5),
+      r.most_waiting = count(*t, "waiting", r.most_waiting, 1e5);
+      r.stays = t->flag("stays", false);
+      if (r.effect == Effect::Deduped && r.dedupe_window <= Span::millis(250))
+        fault(*t, "tool '" + r.pattern + "' is deduped without a dedupe-window above 250ms",
+              "say for how long its servers drop repeats");
+      if (r.effect != Effect::Deduped && t->attribute("dedupe-window"))
+        fault(*t, "tool '" + r.pattern + "' names a dedupe-window, but is " + effect,
+              "drop it, or set effect to deduped");
+      if (r.time_out <= Span{}) fault(*t, "time-out is 0", "give a time above 0");
+      if (r.pattern.empty() || r.pattern.find('*') < r.pattern.size() - 1)
+        fault(*t, "'" + r.pattern + "' is no pattern", "write a name, or a prefix that ends in *");
+      for (const auto& other : out.desk.rules)
+        if (other.pattern == r.pattern || (other.pattern.ends_with('*') && takes(other.pattern, r.pattern)))
+          fault(*t, "tool '" + r.pattern + "' is never reached: '" + other.pattern + "' takes it first",
+                "move it above");
+      out.desk.rules.push_back(r);
+    }
+    return out;
+  }
+
   const std::string& file_;
   std::vector<Fault>& faults_;
   int zone_ = 0;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -8,6 +8,7 @@
 #include "http/http.hpp"
 #include "net/socket.hpp"
 #include "settings/xml.hpp"
+#include "tools/tool_desk.hpp"
 
 namespace calicograde::settings {
 
@@ -37,6 +38,21 @@
   int line = 0;
 };
 
+struct ToolServer {
+  std::string name, path = "/mcp";
+  net::Address address;
+};
+// The second front: tool calls relayed to tool servers.
+struct Tools {
+  std::string path = "/mcp";
+  std::vector<std::string> origins;  // allowed; a request without an Origin is no browser's and is let in
+  std::vector<ToolServer> servers;
+  tools::DeskSettings desk;
+  std::size_t sessions = 1000,
+              kept_bytes = 4 << 20;  // sessions at once; of each, what is kept for resumption
+  Span list_every = Span::millis(10000);
+};
+
 struct Front {
   std::string name;
   int number = 0, of = 1;
@@ -50,6 +66,7 @@
   std::string log_level = "info", log_file;
   std::vector<Pool> pools;
   std::vector<Route> routes;
+  std::optional<Tools> tools;
 };
 
 // Reads, checks against the schema, then for sense. All faults are appended; none is returned if there is
--- a/src/settings/xml.cpp
+++ b/src/settings/xml.cpp
@@ -31,7 +31,7 @@
   if (has("is required but missing")) return "add the attribute";
   if (has("is not allowed")) return "remove the attribute, or look for a slip in its name";
   if (has("Missing child element")) return "add what is named as expected";
-  if (has("not expected")) return "move or remove the element; the order is front, zones, pool, route";
+  if (has("not expected")) return "move or remove the element; the order is front, zones, pool, route, tools";
   if (has("not an element of the set")) return "use one of the values named";
   if (has("hostport") || has("[0-9]{1,5}")) return "write HOST:PORT, an IPv6 address in brackets";
   return "see docs/operators/running.md for what stands here";
--- a/tests/program/front_test.cpp
+++ b/tests/program/front_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <fstream>
 #include <set>
 #include <thread>
 
@@ -276,5 +277,37 @@
   client.join();
 }
 
+// Engines by host name, from a file that changes while the front runs; a file that is half written changes
+// nothing.
+TEST(Front, ARosterFileIsReadAgainWhenItChanges) {
+  char file[] = "/tmp/calicograde-roster-XXXXXX";
+  ::close(mkstemp(file));
+  const auto write = [&](const std::string& text) {
+    std::ofstream(std::string(file) + ".new") << text;
+    ::rename((std::string(file) + ".new").c_str(), file);
+  };
+  write("{\"version\":1,\"engines\":[]}");
+  Rig rig(lab::small_plan(), [&](settings::Front& s) {
+    s.pools[0].roster_server.reset();
+    s.pools[0].roster_file = file, s.pools[0].roster_every = Span::millis(10);
+  });
+  EXPECT_EQ(lab::call(rig.ask("none", Span::millis(200)), rig.records).how, "shed");
+  roster::Document d{2, true, 0, {}};
+  for (const auto& e : rig.engines) {
+    roster::Line l;
+    l.address = "localhost" + e->address().substr(e->address().rfind(':')), l.kind = e->options().kind,
+    l.zone = e->options().zone, l.incarnation = "1";
+    d.lines.push_back(l);
+  }
+  write(roster::text_of(d));
+  EXPECT_TRUE(
+      until([&] { return lab::call(rig.ask("a", Span::millis(2000)), rig.records).how == "completed"; }));
+  write("{\"version\":3,\"engi");
+  usleep(50000);
+  EXPECT_EQ(lab::call(rig.ask("b"), rig.records).how, "completed");
+  ::unlink(file);
+  EXPECT_TRUE(rig.all_let_go());
+}
+
 }  // namespace
 }  // namespace calicograde::front
