--- a/src/front/tools_front.cpp
+++ b/src/front/tools_front.cpp
@@ -312,7 +312,7 @@
       lock.unlock();
       if (out.empty() && clock_now() - wrote > Span::millis(5000)) out = ": alive\n\n";
       if (!out.empty()) wrote = clock_now();
-      if (!visit.connection.piece(out) || visit.connection.stream().stale()) return false;
+      if (!visit.connection.piece(out) || visit.connection.stream().peer_left()) return false;
       if (ended) return visit.connection.end_stream();
       lock.lock();
     }
--- a/src/lab/engine_standin.hpp
+++ b/src/lab/engine_standin.hpp
@@ -30,8 +30,8 @@
   Stage stage = Stage::Read;
   int slots = 8, queue = 32;
   double memory_tokens = 200000, read_per_s = 15000,
-         rate = 20;  // rate: sends a second that it can do when warm
-  Span token = Span::millis(10);
+         rate = 20;                            // rate: sends a second that it can do when warm
+  Span token = Span::millis(10), first_token;  // first_token: zero = as the others
   double cold_from = 0.25, fall_multiple = 2.5;
   Span cold = Span::millis(12000), fall = Span::millis(1500);
   bool release = true, places = false, reports = false;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -163,6 +163,11 @@
   return !fd_ || ::poll(&p, 1, 0) != 0;
 }
 
+bool Stream::peer_left() const {
+  pollfd p{fd_.get(), POLLRDHUP, 0};
+  return !fd_ || ::poll(&p, 1, 0) != 0;
+}
+
 std::size_t Stream::read(void* to, std::size_t most, boost::system::error_code& ec) {
   ec = {};
   for (;;) {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -70,6 +70,8 @@
   void shut() const;
   // Whether the other side closed an idle connection or sent what nobody asked for.
   bool stale() const;
+  // Whether the other side has closed its end; what it sent before may still be unread.
+  bool peer_left() const;
   std::size_t bytes_read() const { return bytes_read_; }
   std::size_t bytes_written() const { return bytes_written_; }
 
