--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 out=$(mktemp); trap 'kill $pid 2>/dev/null || true; rm -f "$out"' EXIT
-(sleep 600) | build/calicograde-lab up >"$out" & pid=$!
+mkfifo "$out.in"; build/calicograde-lab up <"$out.in" >"$out" & pid=$!; exec 9>"$out.in"; rm -f "$out.in"
 for _ in $(seq 200); do [ -s "$out" ] && break; sleep 0.05; done
 front=$(sed -n 's/.*"fronts":\["\([^"]*\)".*/\1/p' "$out")
 [ -n "$front" ] || { echo "the front did not become ready" >&2; exit 1; }
