One quantile, one way to set a member; pool numbers kept; tokens counted in measure

Found on reading the change again. audit and measure each had a quantile beside the module's; pools were searched for their own number on every send; the auditor looked through all records for an engine's group; a progress token was replaced wherever its text first occurred in the params, not in its member; unused fields go. measure took 16 tokens for every answer where the stand-in gave fewer, so that CPU for each streamed token came out too low: it counts them now.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -6,7 +6,6 @@
 #include <condition_variable>
 #include <deque>
 #include <map>
-#include <queue>
 #include <random>
 #include <thread>
 
@@ -35,8 +34,6 @@
 constexpr std::size_t keys_kept = 65536;
 constexpr std::size_t errand_threads = 64, errands_waiting = 65536;
 
-std::string name_of(const net::Address& a) { return net::text_of(a); }
-
 const char* word(EndedAs as) {
   switch (as) {
     case EndedAs::Completed: return "completed";
@@ -247,9 +244,10 @@
     std::map<std::uint8_t, std::shared_ptr<SendControl>> sends;
   };
   struct PoolParts {
-    PoolParts(const settings::Pool& p, const std::string& name, std::uint64_t seed,
+    PoolParts(std::size_t number, const settings::Pool& p, const std::string& name, std::uint64_t seed,
               const std::vector<std::string>& zones)
-        : settings(p),
+        : index(number),
+          settings(p),
           router(seed, p.routing),
           cases(name, p.routing),
           links(p.routing.link_idle, 256),
@@ -263,6 +261,7 @@
       for (const auto& k : p.kinds) out.push_back(k.name);
       return out;
     }
+    const std::size_t index;
     const settings::Pool& settings;
     Router router;  // the owner's alone, as the next four
     Cases cases;
@@ -285,8 +284,8 @@
     std::snprintf(stamp, sizeof stamp, "%08x", chance());
     const std::uint64_t seed = s.seed != 0 ? s.seed : (std::uint64_t{chance()} << 32 | chance());
     for (std::size_t k = 0; k < s.pools.size(); ++k)
-      pools.push_back(std::make_unique<PoolParts>(s.pools[k], s.name + "." + stamp + "." + std::to_string(k),
-                                                  seed + k, s.zones));
+      pools.push_back(std::make_unique<PoolParts>(
+          k, s.pools[k], s.name + "." + stamp + "." + std::to_string(k), seed + k, s.zones));
   }
 
   // ---- the owner of the modules
@@ -312,7 +311,6 @@
         carry_out(*p);
       }
     }
-    owner_done = true;
   }
 
   void take(PoolParts& p, Report& r) {
@@ -407,7 +405,7 @@
     core.log_.line(level, "send ended",
                    {{"inference", std::int64_t{e.inf}},
                     {"send", std::int64_t{e.send}},
-                    {"engine", at ? std::string_view(name_of(*at)) : "?"},
+                    {"engine", at ? std::string_view(net::text_of(*at)) : "?"},
                     {"reason", word(e.ending.as)},
                     {"no_state", std::int64_t{e.ending.no_state}}});
   }
@@ -419,23 +417,16 @@
     if (it == p.open.end()) return false;
     auto control = std::make_shared<SendControl>();
     if (s.leg != Leg::Read) it->second.ticket->write_ordered(clock_now());
-    const auto index = pool_index(p);
-    const bool begun = workers.submit([this, &p, index, s, ticket = it->second.ticket, control] {
+    const bool begun = workers.submit([this, &p, s, ticket = it->second.ticket, control] {
       Ending ending;
       if (run_send(p, s, *ticket, *control, ending)) return;  // the client's thread ends it
-      queue.put({index, Ended{s.inf, s.send, std::move(ending)}});
+      queue.put({p.index, Ended{s.inf, s.send, std::move(ending)}});
     });
     if (begun) it->second.sends[s.send] = control;
     else if (s.leg != Leg::Read) it->second.ticket->write_unrun();
     return begun;
   }
 
-  std::size_t pool_index(const PoolParts& p) const {
-    for (std::size_t k = 0; k < pools.size(); ++k)
-      if (pools[k].get() == &p) return k;
-    return 0;
-  }
-
   std::optional<http::ClientConnection> link_to(PoolParts& p, const net::Address& at, Instant until,
                                                 SendFacts& facts) {
     if (auto kept = p.links.take(at)) return kept;
@@ -556,7 +547,7 @@
     // From here on no cancel touches it: the stream is the client's if nobody else has spoken.
     if (!control.detach()) return facts.cancelled = true, false;
     if (!ticket.claim_stream(s.send)) return facts.cancelled = true, false;
-    queue.put({pool_index(p), Started{s.inf, s.send}});
+    queue.put({p.index, Started{s.inf, s.send}});
     auto stream =
         std::make_unique<EngineStream>(std::move(link), std::move(events), std::move(ready), at, usage);
     if (!ticket.deliver(stream)) {
@@ -592,14 +583,14 @@
     char body[160];
     std::snprintf(body, sizeof body, "{\"prompt_tokens\":%.0f,\"max_tokens\":%d}", asked.prompt_tokens,
                   asked.prompt->max_tokens);
-    return errands.submit([this, &p, a, text = std::string(body), index = pool_index(p)] {
+    return errands.submit([this, &p, a, text = std::string(body)] {
       const auto said =
           short_ask(p, a.engine, "/calicograde/v1/hold", text, a.name, p.settings.routing.pin_limit);
       // No answer is told to the module as none: it counts that itself. Whatever was granted unheard is let
       // go.
       if (said)
         queue.put(
-            {index, PlaceSaid{a.inf, a.engine, a.name, said->find("\"held\":true") != std::string::npos}});
+            {p.index, PlaceSaid{a.inf, a.engine, a.name, said->find("\"held\":true") != std::string::npos}});
       else release(p, {a.engine, a.name});
     });
   }
@@ -718,7 +709,7 @@
   BoundedQueue<Report> queue;
   Workers workers;  // of sends
   Workers errands;  // places and releases
-  std::atomic<bool> stopping = false, owner_done = false;
+  std::atomic<bool> stopping = false;
   std::map<std::size_t, std::atomic<bool>> resync;
   std::mutex pause_mutex, meter_mutex, tickets_mutex;
   std::condition_variable paused;
--- a/src/front/tools_front.cpp
+++ b/src/front/tools_front.cpp
@@ -573,8 +573,9 @@
                 std::string& answer) {
     const std::string id = "\"" + std::to_string(w.id) + "." + std::to_string(s.send) + "\"";
     // Its own token: the client's may be used at this server by another client as well.
-    const std::string params =
-        w.token.empty() ? w.request.params : rpc::with_progress_token(w.request.params, id);
+    const std::string params = w.token.empty()
+                                   ? w.request.params
+                                   : rpc::with_member(w.request.params, {"_meta", "progressToken"}, id);
     const auto before = link.stream().bytes_written();
     const Instant until = s.until;
     if (!link.ask("POST", settings_.servers[s.server].path,
@@ -666,8 +667,8 @@
     if (const auto* n = std::get_if<rpc::Notification>(&message)) {
       if (n->method == "notifications/progress" && !w.token.empty()) {
         // Under the client's own token again.
-        auto params = n->params;
-        if (const auto at = params.find(id); at != std::string::npos) params.replace(at, id.size(), w.token);
+        const bool ours = rpc::member_json(n->params, {"progressToken"}) == id;
+        const std::string params = ours ? rpc::with_member(n->params, {"progressToken"}, w.token) : n->params;
         say(w, rpc::text_of(rpc::Notification{n->method, params}), false);
       } else if (n->method == "notifications/message") {
         say(w, text, false);
--- a/src/lab/audit.cpp
+++ b/src/lab/audit.cpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <set>
 
+#include "routing/state.hpp"
+
 namespace calicograde::lab {
 namespace {
 
@@ -76,6 +78,7 @@
       if (r.what == "send_end")
         if (const auto it = by_name.find(r.name); it != by_name.end() && !sends_[it->second].ended)
           sends_[it->second].end = r.at, sends_[it->second].ended = true, sends_[it->second].how = r.how;
+      if (r.what == "engine") engines_.emplace(r.where, &r);
       if (r.what == "held") holdings_.push_back({r.at, end, true, r.where, r.name, r.how});
       if (r.what == "unheld")
         for (auto& h : holdings_)
@@ -151,9 +154,9 @@
   }
 
   std::string group(const std::string& engine, DedupeGroup g) const {
-    for (const auto& r : records_)
-      if (r.what == "engine" && r.where == engine) return g == DedupeGroup::Zone ? r.name : r.how;
-    return engine;
+    const auto it = engines_.find(engine);
+    if (it == engines_.end()) return engine;
+    return g == DedupeGroup::Zone ? it->second->name : it->second->how;
   }
 
   // A key that a client used again, after whatever answer, has one effect.
@@ -275,6 +278,7 @@
   const Plan& plan_;
   std::vector<Record> records_;
   std::map<std::string, const PlannedRoute*> routes_;
+  std::map<std::string, const Record*> engines_;  // name: its zone, how: its rack
   std::map<std::string, Asked> asked_;
   std::vector<Sent> sends_;
   std::vector<Holding> holdings_;
@@ -286,12 +290,6 @@
   Verdict v_;
 };
 
-double part(std::vector<double> v, double q) {
-  if (v.empty()) return 0;
-  std::sort(v.begin(), v.end());
-  return v[std::min(v.size() - 1, static_cast<std::size_t>(q * static_cast<double>(v.size())))];
-}
-
 }  // namespace
 
 Verdict audit(const Plan& plan, std::vector<Record> records) {
@@ -306,7 +304,8 @@
   for (const auto& [name, f] : v.routes) {
     std::snprintf(row, sizeof row, "%-18s %5d %9d %5d %7d %5d %5d %5d  %9.0f / %-9.0f  %10.2f\n",
                   name.c_str(), f.asked, f.completed, f.shed, f.errored + f.refused, f.left, f.cut, f.late,
-                  part(f.first_token_ms, 0.5), part(f.first_token_ms, 0.99), f.asked ? f.sends / f.asked : 0);
+                  quantile(f.first_token_ms, 0.5, 0), quantile(f.first_token_ms, 0.99, 0),
+                  f.asked ? f.sends / f.asked : 0);
     out += row;
   }
   static const char* const names[] = {"",
--- a/src/lab/engine_standin.cpp
+++ b/src/lab/engine_standin.cpp
@@ -116,8 +116,7 @@
   limits.idle = Span::millis(100), limits.body_bytes = 64 << 20;
   http::ServerConnection c(std::move(stream), limits);
   if (const Span h = faults().handshake; h > Span{}) wait(c, clock_now() + h, life);
-  const Instant idle_from = clock_now();
-  for (Instant last = idle_from; life_ == life && clock_now() - last < Span::millis(60000);) {
+  for (Instant last = clock_now(); life_ == life && clock_now() - last < Span::millis(60000);) {
     http::Request request;
     const auto end = c.read(request);
     if (end == http::ReadEnd::Closed && c.stream().peer_left()) break;
--- a/src/lab/engine_standin.hpp
+++ b/src/lab/engine_standin.hpp
@@ -26,7 +26,7 @@
 };
 
 struct EngineOptions {
-  std::string kind = "prefill", zone = "default", rack = "r0", model;
+  std::string kind = "prefill", zone = "default", rack = "r0";
   Stage stage = Stage::Read;
   int slots = 8, queue = 32;
   double memory_tokens = 200000, read_per_s = 15000,
--- a/src/lab/measure.cpp
+++ b/src/lab/measure.cpp
@@ -13,6 +13,7 @@
 #include "lab/day.hpp"
 #include "net/clock.hpp"
 #include "net/thread.hpp"
+#include "routing/state.hpp"
 
 namespace calicograde::lab {
 
@@ -49,12 +50,6 @@
   return {ticks / static_cast<double>(sysconf(_SC_CLK_TCK)), kib};
 }
 
-double part(std::vector<double> v, double q) {
-  if (v.empty()) return 0;
-  std::sort(v.begin(), v.end());
-  return v[std::min(v.size() - 1, static_cast<std::size_t>(q * static_cast<double>(v.size())))];
-}
-
 // The first token of a call straight to an engine, in ms; 0 if none came.
 double direct(const net::Address& engine) {
   const Instant asked = clock_now(), until = asked + Span::millis(20000);
@@ -115,7 +110,8 @@
     s.write_some(boost::asio::buffer(ask), ec);
     streams.push_back(std::move(s)), begun.push_back(0), over.push_back(0);
     // Opened at a pace that the module takes in; what holds them is measured, not the rush.
-    for (const Instant due = from + Span::from_seconds(k / 400.0); k % 20 == 19 && clock_now() < due;) drain(5);
+    for (const Instant due = from + Span::from_seconds(k / 400.0); k % 20 == 19 && clock_now() < due;)
+      drain(5);
   }
   std::size_t open = 0;
   for (const Instant until = clock_now() + Span::millis(16000);
@@ -148,6 +144,7 @@
   std::mutex mutex;
   std::vector<double> by_front, straight;
   std::atomic<int> running = 0, bad = 0, done = 0;
+  std::atomic<long> tokens = 0;  // a word each
   const auto before = usage_of(town.pids()[0]);
   const Instant begun = clock_now();
   const int calls = static_cast<int>(o.rate * o.length.seconds());
@@ -167,6 +164,7 @@
         double first = 0;
         for (const auto& r : mine.all())
           if (r.what == "first") first = r.number;
+        tokens += std::count(end.text.begin(), end.text.end(), ' ');
         const std::lock_guard lock(mutex);
         if (end.how == "completed") by_front.push_back(first), ++done;
         else ++bad;
@@ -182,20 +180,19 @@
   while (running > 0) usleep(1000);
   const double took = (clock_now() - begun).seconds();
   const auto after = usage_of(town.pids()[0]);
-  // The stand-in answers 16 tokens at the most, and 3 at the least: as many as its prompt has it say.
-  const double tokens = 16.0 * done;
   std::printf("| calls through the front / straight, in %.1f s | %zu / %zu (%d not completed) |\n", took,
               by_front.size(), straight.size(), bad.load());
   std::printf("| inferences a second through the front | %.0f |\n", done / took);
-  std::printf("| first token through the front, p50 / p99 | %.2f / %.2f ms |\n", part(by_front, 0.5),
-              part(by_front, 0.99));
-  std::printf("| first token straight, p50 / p99 | %.2f / %.2f ms |\n", part(straight, 0.5),
-              part(straight, 0.99));
-  std::printf("| the front adds, p50 / p99 | %.2f / %.2f ms |\n", part(by_front, 0.5) - part(straight, 0.5),
-              part(by_front, 0.99) - part(straight, 0.99));
+  std::printf("| first token through the front, p50 / p99 | %.2f / %.2f ms |\n", quantile(by_front, 0.5, 0),
+              quantile(by_front, 0.99, 0));
+  std::printf("| first token straight, p50 / p99 | %.2f / %.2f ms |\n", quantile(straight, 0.5, 0),
+              quantile(straight, 0.99, 0));
+  std::printf("| the front adds, p50 / p99 | %.2f / %.2f ms |\n",
+              quantile(by_front, 0.5, 0) - quantile(straight, 0.5, 0),
+              quantile(by_front, 0.99, 0) - quantile(straight, 0.99, 0));
   std::printf("| CPU of the front for each inference / streamed token | %.0f / %.1f us |\n",
               (after.first - before.first) * 1e6 / std::max(1, done.load()),
-              (after.first - before.first) * 1e6 / std::max(1.0, tokens));
+              (after.first - before.first) * 1e6 / std::max(1.0, static_cast<double>(tokens.load())));
   std::printf("| calls begun late by at the most | %.1f ms |\n", behind);
   return town.stop_fronts();
 }
--- a/src/rpc/message.cpp
+++ b/src/rpc/message.cpp
@@ -136,10 +136,15 @@
   return out;
 }
 
-std::string with_progress_token(std::string_view params, std::string_view token_json) {
-  Json j = read_or_none(raw(params));
-  if (!j.is_object()) j = Json::object();
-  j["_meta"]["progressToken"] = read_or_none(token_json);
+std::string with_member(std::string_view json, std::initializer_list<std::string_view> path,
+                        std::string_view value) {
+  Json j = read_or_none(raw(json));
+  Json* here = &j;
+  for (const auto name : path) {
+    if (!here->is_object()) *here = Json::object();
+    here = &(*here)[std::string(name)];
+  }
+  *here = read_or_none(value);
   return dump(j);
 }
 
--- a/src/rpc/message.hpp
+++ b/src/rpc/message.hpp
@@ -57,7 +57,8 @@
   std::optional<bool> idempotent, read_only;
 };
 std::vector<Tool> tools_of(std::string_view result);
-// The same params with a progress token of this front's in place of the client's, or added.
-std::string with_progress_token(std::string_view params, std::string_view token_json);
+// The same object with a member set, its parents made where they are missing.
+std::string with_member(std::string_view json, std::initializer_list<std::string_view> path,
+                        std::string_view value);
 
 }  // namespace calicograde::rpc
--- a/src/tools/tool_desk.cpp
+++ b/src/tools/tool_desk.cpp
@@ -163,7 +163,6 @@
   }
   s.offers.clear();
   for (const auto& o : *offers) s.offers[o.tool] = o;
-  s.listed = true;
   sign(now, server);
   admit(now);
   return done();
@@ -173,7 +172,7 @@
                                          std::uint64_t session, Instant ends) {
   const auto [it, fresh] = calls_.try_emplace(id);
   if (!fresh) return {};
-  it->second.tool = tool, it->second.session = session, it->second.ends = ends, it->second.came = now;
+  it->second.tool = tool, it->second.session = session, it->second.ends = ends;
   const bool known =
       std::any_of(servers_.begin(), servers_.end(), [&](const Server& s) { return s.offers.contains(tool); });
   const auto waiting = static_cast<std::size_t>(
--- a/src/tools/tool_desk.hpp
+++ b/src/tools/tool_desk.hpp
@@ -108,7 +108,7 @@
  private:
   struct Server {
     std::map<std::string, Offer> offers;
-    bool listed = false, doubted = false;
+    bool doubted = false;
     Instant last_sign, next_trial;
     std::deque<double>
         gaps;  // between signs while something was awaited, in seconds: the last few themselves
@@ -122,7 +122,7 @@
   struct Call {
     std::string tool;
     std::uint64_t session = 0;
-    Instant ends, came;
+    Instant ends;
     std::vector<Send> sends;
     std::set<ServerIndex> failed_at;
   };
--- a/tests/program/rpc_test.cpp
+++ b/tests/program/rpc_test.cpp
@@ -44,7 +44,7 @@
   parse(text);
   parse("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"a\",\"params\":" + text + "}");
   member_text(text, {"a", "b"});
-  with_progress_token(text, "1");
+  with_member(text, {"_meta", "progressToken"}, "1");
 }
 
 TEST(Rpc, AnIdIsUsedOnceAndAnsweredOnce) {
