--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -44,8 +44,10 @@
                 {"connections", static_cast<std::int64_t>(settings->connections)}});
     front::Core core(*settings, log);
     std::vector<std::unique_ptr<front::Protocol>> protocols;
-    protocols.push_back(front::messages_front(core));
-    if (settings->tools) protocols.push_back(front::tools_front(core));
+    // Made before the protocols, which share it.
+    const auto calls = settings->tools ? std::make_shared<front::ToolCalls>(core) : nullptr;
+    protocols.push_back(front::messages_front(core, calls));
+    if (calls) protocols.push_back(front::tools_front(core, calls));
     front::Server server(core, std::move(protocols));
     core.start();
     // A front that no roster has told of any engine yet can only shed; it listens once one has, or after a
--- a/src/engines/completions.cpp
+++ b/src/engines/completions.cpp
@@ -36,14 +36,70 @@
   return out;
 }
 
+constexpr int most_calls = 128;  // of one answer
+
+// A turn as one or more messages: each result of a tool is a message of its own.
+void add_turn(Json& messages, const Turn& t) {
+  for (const auto& r : t.results)
+    messages.push_back(
+        {{"role", "tool"}, {"tool_call_id", r.id}, {"content", r.error ? "Error: " + r.text : r.text}});
+  if (!t.assistant && t.text.empty() && !t.results.empty()) return;
+  Json m{{"role", t.assistant ? "assistant" : "user"}, {"content", t.text}};
+  if (!t.uses.empty()) {
+    if (t.text.empty()) m["content"] = nullptr;
+    Json calls = Json::array();
+    for (const auto& u : t.uses)
+      calls.push_back(
+          {{"id", u.id}, {"type", "function"}, {"function", {{"name", u.name}, {"arguments", u.input}}}});
+    m["tool_calls"] = std::move(calls);
+  }
+  messages.push_back(std::move(m));
+}
+
+void add_tools(Json& j, const Prompt& p) {
+  if (p.tools.empty()) return;
+  Json tools = Json::array();
+  for (const auto& t : p.tools) {
+    Json f{{"name", t.name}};
+    if (!t.description.empty()) f["description"] = t.description;
+    Json schema = parse(t.schema);
+    f["parameters"] = schema.is_object() ? std::move(schema) : Json::object();
+    tools.push_back({{"type", "function"}, {"function", std::move(f)}});
+  }
+  j["tools"] = std::move(tools);
+  using H = ToolChoice::How;
+  switch (p.choice.how) {
+    case H::Auto: break;
+    case H::Any: j["tool_choice"] = "required"; break;
+    case H::None: j["tool_choice"] = "none"; break;
+    case H::One: j["tool_choice"] = {{"type", "function"}, {"function", {{"name", p.choice.name}}}}; break;
+  }
+  if (p.choice.one_at_once) j["parallel_tool_calls"] = false;
+}
+
+std::optional<std::vector<CallPiece>> calls_of(const Json& delta) {
+  std::vector<CallPiece> out;
+  const Json* list = at(delta, "tool_calls");
+  if (!list) return out;
+  if (!list->is_array()) return std::nullopt;
+  for (const auto& c : *list) {
+    const double index = number(c, "index");
+    if (!c.is_object() || !(index >= 0 && index < most_calls)) return std::nullopt;
+    CallPiece piece{static_cast<int>(index), text(c, "id"), {}, {}};
+    if (const Json* f = at(c, "function"))
+      piece.name = text(*f, "name"), piece.arguments = text(*f, "arguments");
+    out.push_back(std::move(piece));
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string ask_body(Leg leg, const std::string& model, const Prompt& p, const std::string& state,
                      const std::string& place) {
   Json messages = Json::array();
   if (!p.system.empty()) messages.push_back({{"role", "system"}, {"content", p.system}});
-  for (const auto& t : p.turns)
-    messages.push_back({{"role", t.assistant ? "assistant" : "user"}, {"content", t.text}});
+  for (const auto& t : p.turns) add_turn(messages, t);
   Json j{{"model", model}, {"messages", std::move(messages)}};
   const bool read = leg == Leg::Read;
   j["max_tokens"] = read ? 1 : p.max_tokens;
@@ -53,6 +109,7 @@
   if (p.temperature) j["temperature"] = *p.temperature;
   if (p.top_p) j["top_p"] = *p.top_p;
   if (p.top_k && *p.top_k > 0) j["top_k"] = *p.top_k;
+  add_tools(j, p);
   if (read)
     j["kv_transfer_params"] = {{"do_remote_decode", true},    {"do_remote_prefill", false},
                                {"remote_engine_id", nullptr}, {"remote_block_ids", nullptr},
@@ -80,12 +137,27 @@
   if (!choices && !out.usage) return std::nullopt;
   if (!choices || !choices->is_array() || choices->empty()) return out;
   const Json& c = choices->front();
-  if (const Json* delta = at(c, "delta")) out.text = text(*delta, "content");
+  if (const Json* delta = at(c, "delta")) {
+    out.text = text(*delta, "content");
+    auto calls = calls_of(*delta);
+    if (!calls) return std::nullopt;
+    out.calls = std::move(*calls);
+  }
   out.finish = text(c, "finish_reason");
   out.stop = text(c, "stop_reason");
   return out;
 }
 
+CallAssembler::Took CallAssembler::take(const CallPiece& p, const std::string& id_prefix, int& number) {
+  if (p.index == index_ && !uses_.empty()) return uses_.back().input += p.arguments, Took::More;
+  if (p.index < index_ || p.name.empty()) return Took::Garbage;
+  index_ = p.index, ++number;
+  uses_.push_back({p.id.empty() ? id_prefix + std::to_string(number) : p.id, p.name, p.arguments});
+  return Took::Opened;
+}
+
+bool is_object(std::string_view input) { return input.empty() || parse(input).is_object(); }
+
 Judged judge(Leg leg, const SendFacts& f) {
   using C = SendFacts::Connect;
   if (f.not_sent || f.connect == C::NoDescriptor) return {EndedAs::Moot};
--- a/src/engines/completions.hpp
+++ b/src/engines/completions.hpp
@@ -27,13 +27,37 @@
 // None if it is no answer to a read.
 std::optional<ReadAnswer> parse_read(std::string_view body);
 
+// Part of a call that the model asks for: its name and id come with the first part.
+struct CallPiece {
+  int index = 0;
+  std::string id, name, arguments;
+};
 struct Chunk {
   std::string text;
+  std::vector<CallPiece> calls;
   std::string finish;  // empty until the answer has ended
   std::string stop;    // the stop sequence that ended it, where told
   std::optional<Usage> usage;
   bool done = false;  // [DONE]
+  // Whether it tells the client anything.
+  bool says() const { return !text.empty() || !calls.empty() || !finish.empty(); }
+};
+// Puts the parts of an answer's calls together. Parts of a call that another has followed are garbage: they
+// come one after the other.
+class CallAssembler {
+ public:
+  enum class Took { Opened, More, Garbage };
+  // A call without an id is given one: the prefix, and the number counted on.
+  Took take(const CallPiece& piece, const std::string& id_prefix, int& number);
+  const std::vector<ToolUse>& uses() const { return uses_; }  // the last one may still grow
+
+ private:
+  std::vector<ToolUse> uses_;
+  int index_ = -1;
 };
+// Whether a call's input is a JSON object; none at all counts as an empty one.
+bool is_object(std::string_view input);
+
 std::optional<Chunk> parse_chunk(std::string_view data);
 
 // Everything about how a send went on its socket that its outcome is judged by.
--- /dev/null
+++ b/src/front/answering.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "front/core.hpp"
+
+namespace calicograde::front {
+
+// How an inference ended for whoever asked for it.
+struct AnswerEnd {
+  enum class How {
+    Completed,
+    Shed,      // trying again is harmless
+    Refused,   // by the engine, for the prompt's own words
+    Stopping,  // this front is
+    Late,      // no answer came in time
+    Left,      // the asker has gone, or takes no more
+    Broken,    // the engine broke off, fell silent or wrote nonsense after the answer had begun
+    NotTaken,  // the front takes no more, or the key forbids it
+  } how = How::Late;
+  Core::Opened::Why not_taken = Core::Opened::Why::Full;
+  Span retry_after;
+  std::string message;           // of Refused, Broken and Stopping
+  bool outcome_unknown = false;  // of Late: it may have run
+  bool begun = false;            // the asker has been given a part of the answer
+  engines::Chunk last;           // the one that ended it
+  Usage usage;
+  InfId inf = 0;
+  // Whether it may have run, and since when.
+  bool ran = false;
+  Instant first_run;
+};
+
+// One inference through the core, on the thread of whoever asked for it: waits for what the module decides,
+// and reads the answer to its end.
+class Answering {
+ public:
+  struct Terms {
+    Instant ends;         // of the budget
+    bool stream = true;   // else the whole answer is wanted by `ends`
+    bool waited = false;  // the asker has a stream open already, and is kept up while it waits
+    int client_fd = -1;   // hung up = left; -1 = nobody to watch
+  };
+  class Reader {
+   public:
+    virtual ~Reader() = default;
+    // A piece of the answer. False: the asker takes no more.
+    virtual bool chunk(const engines::Chunk& chunk, const Usage& usage) = 0;
+    // Nothing has come for a while.
+    virtual bool quiet() { return true; }
+  };
+
+  explicit Answering(Core& core);
+  bool ok() const { return wake_->ok(); }  // false: descriptors have run out
+  AnswerEnd run(Asked asked, const Terms& terms, Reader& reader);
+  // From any thread: ends it as Left.
+  void stop();
+
+ private:
+  AnswerEnd attend(Ticket& ticket, const Terms& terms, Reader& reader);
+  AnswerEnd follow(Ticket& ticket, std::unique_ptr<EngineStream> stream, const Terms& terms, Reader& reader);
+  static AnswerEnd ended(const Final& final);
+
+  Core& core_;
+  std::shared_ptr<const net::Wake> wake_;
+  std::atomic<bool> stopped_ = false;
+};
+
+}  // namespace calicograde::front
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -154,7 +154,7 @@
         usage_ = *chunk->usage, usage_.kept_tokens = std::min(kept, usage_.prompt_tokens);
       }
       if (chunk->done) finished_ = true;
-      if (chunk->text.empty() && chunk->finish.empty()) continue;
+      if (!chunk->says()) continue;
       out = std::move(*chunk);
       return Next::Chunk;
     }
@@ -538,7 +538,7 @@
         const auto chunk = engines::parse_chunk(e.data);
         facts.understood = facts.understood && chunk;
         if (!facts.understood) return false;
-        begun |= !chunk->text.empty() || !chunk->finish.empty();
+        begun |= chunk->says();
       }
       if (begun) break;
       if (end == BodyEnd::TimedOut) return facts.timed_out = true, false;
@@ -767,7 +767,7 @@
   {
     const std::lock_guard lock(inside_->tickets_mutex);
     if (inside_->tickets.size() >= settings_.held) return {Why::Full, nullptr};
-    if (rules.effect == Effect::Deduped) {
+    if (rules.effect == Effect::Deduped && !ticket->asked().key_taken) {
       const auto says = inside_->keys.ask(clock_now(), route.name, ticket->asked().dedupe_key,
                                           rules.dedupe_group, rules.dedupe_window);
       if (says == KeyBook::Says::InWork) return {Why::KeyInWork, nullptr};
@@ -778,6 +778,8 @@
   }
   if (inside_->queue.offer({route.pool, Taken{ticket, a}})) return {Why::Taken, ticket};
   closed(*ticket);
+  if (rules.effect == Effect::Deduped && !ticket->asked().key_taken)
+    key_over(route.name, ticket->asked().dedupe_key, false, {}, false);
   return {Why::Full, nullptr};
 }
 
@@ -792,11 +794,13 @@
 }
 
 void Core::closed(const Ticket& t) {
-  const auto& route = settings_.routes[t.asked().route];
-  const auto [ran, first] = t.may_have_run();
   const std::lock_guard lock(inside_->tickets_mutex);
   inside_->tickets.erase(t.inf());
-  if (route.effect == Effect::Deduped) inside_->keys.ended(route.name, t.asked().dedupe_key, ran, first);
+}
+
+void Core::key_over(const std::string& route, const std::string& key, bool ran, Instant first, bool unsure) {
+  const std::lock_guard lock(inside_->tickets_mutex);
+  inside_->keys.ended(route, key, ran, first, unsure);
 }
 
 double Core::estimate_tokens(std::size_t route, std::size_t bytes) const {
--- a/src/front/core.hpp
+++ b/src/front/core.hpp
@@ -35,6 +35,7 @@
   std::size_t prompt_bytes = 0;
   Instant ends;            // of the client's budget
   std::string dedupe_key;  // passed on to engines; empty = none
+  bool key_taken = false;  // an inference before it holds the client's key: it is not asked for again
 };
 
 // An answer that has begun at an engine; read by the client's thread alone.
@@ -140,6 +141,9 @@
   void stream_ended(const Ticket& ticket, EndedAs as, std::unique_ptr<EngineStream> stream);
   // Each opened ticket is closed once, when its client's thread is done with it.
   void closed(const Ticket& ticket);
+  // On a deduped route, once all that was done under the client's key is over. `ran`: it may have run, for
+  // the first time at `first`; `unsure`: with an effect whose repeat no engine drops.
+  void key_over(const std::string& route, const std::string& key, bool ran, Instant first, bool unsure);
 
   // Estimates, corrected by what engines report.
   double estimate_tokens(std::size_t route, std::size_t bytes) const;
--- a/src/front/keys.cpp
+++ b/src/front/keys.cpp
@@ -13,17 +13,17 @@
   Entry& e = it->second;
   if (fresh) return Says::Take;
   if (e.in_work) return Says::InWork;
-  if (e.ran && group != DedupeGroup::All) return Says::Unsure;
+  if (e.unsure || (e.ran && group != DedupeGroup::All)) return Says::Unsure;
   if (e.ran && now - e.first >= window - margin) return Says::Expired;
   e.in_work = true;
   return Says::Take;
 }
 
-void KeyBook::ended(const std::string& route, const std::string& key, bool ran, Instant first) {
+void KeyBook::ended(const std::string& route, const std::string& key, bool ran, Instant first, bool unsure) {
   const auto it = book_.find({route, key});
   if (it == book_.end()) return;
   Entry& e = it->second;
-  e.in_work = false;
+  e.in_work = false, e.unsure |= unsure;
   if (!ran && !e.ran) {
     book_.erase(it);
     return;
--- a/src/front/keys.hpp
+++ b/src/front/keys.hpp
@@ -26,14 +26,15 @@
   explicit KeyBook(std::size_t most) : most_(most) {}
 
   Says ask(Instant now, const std::string& route, const std::string& key, DedupeGroup group, Span window);
-  // The inference of that key is over. `ran`: it may have run, for the first time at `first`.
-  void ended(const std::string& route, const std::string& key, bool ran, Instant first);
+  // All that was done under that key is over. `ran`: it may have run, for the first time at `first`;
+  // `unsure`: something may have happened under it that no engine drops a repeat of (a tool's call).
+  void ended(const std::string& route, const std::string& key, bool ran, Instant first, bool unsure = false);
   std::size_t size() const { return book_.size(); }
 
  private:
   using Name = std::pair<std::string, std::string>;
   struct Entry {
-    bool in_work = true, ran = false;
+    bool in_work = true, ran = false, unsure = false;
     Instant first;
   };
   const std::size_t most_;
--- a/src/front/messages_front.cpp
+++ b/src/front/messages_front.cpp
@@ -1,28 +1,135 @@
 #include "front/messages_front.hpp"
 
+#include <unistd.h>
+
 #include <cmath>
 
+#include "front/answering.hpp"
+#include "front/callers.hpp"
+#include "front/workers.hpp"
 #include "net/clock.hpp"
+#include "rounds/rounds.hpp"
 
 namespace calicograde::front {
 namespace {
 
 using log::Level;
 using messages::ApiError;
+using messages::StopReason;
 using net::clock_now;
+using rounds::Ran;
+using rounds::Rounds;
 
 const char* const json = "application/json";
+constexpr std::size_t callers_kept = 4096;
+constexpr std::size_t calls_at_once = 512, calls_waiting = 4096;  // of all messages; each has its own bounds
 
-messages::StopReason reason_of(const engines::Chunk& last) {
-  using R = messages::StopReason;
-  if (last.finish == "length") return R::MaxTokens;
-  if (last.finish == "content_filter") return R::Refusal;
-  return last.stop.empty() ? R::EndTurn : R::StopSequence;
+StopReason reason_of(const engines::Chunk& last) {
+  if (last.finish == "length") return StopReason::MaxTokens;
+  if (last.finish == "content_filter") return StopReason::Refusal;
+  return last.stop.empty() ? StopReason::EndTurn : StopReason::StopSequence;
 }
 
+// Calls that run beside the thread of their message, and what came of them.
+struct CallBox {
+  struct Ended {
+    std::size_t use = 0;
+    Ran ran = Ran::Unknown;
+    rounds::Result result;
+  };
+  void put(Ended e) {
+    const std::lock_guard lock(mutex);
+    ended.push_back(std::move(e));
+    wake.raise();
+  }
+  std::vector<Ended> take() {
+    const std::lock_guard lock(mutex);
+    wake.clear();
+    return std::exchange(ended, {});
+  }
+  std::mutex mutex;
+  net::Wake wake;
+  std::vector<Ended> ended;
+};
+
+// One message, from its call to its last word.
+struct Message {
+  Message(Visit& v, messages::Call& c, const settings::Route& r, std::string id)
+      : visit(v), call(c), route(r), writer(std::move(id), c.model, c.stream) {}
+  Visit& visit;
+  messages::Call& call;
+  const settings::Route& route;
+  messages::AnswerWriter writer;
+  Asked base;  // of each of its inferences, but for the prompt and what is worked out from it
+  std::map<std::string, std::string> servers;  // of the tools that the front calls
+  std::optional<Rounds> rounds;
+  std::shared_ptr<Caller> caller;
+  bool begun = false;  // something of the stream is written
+  Usage usage;         // of all rounds
+  bool ran = false;
+  Instant first_run;
+  InfId inf = 0;
+  int uses = 0;
+  engines::Chunk last;
+  const char* outcome = "left";
+};
+
+// One answer of the model, written to the client as it comes.
+class RoundReader : public Answering::Reader {
+ public:
+  explicit RoundReader(Message& m) : m_(m) {}
+
+  bool chunk(const engines::Chunk& c, const Usage& usage) override {
+    m_.rounds->answer_began(clock_now());
+    std::string out = begin(usage);
+    if (!c.text.empty()) text += c.text, out += m_.writer.text(c.text);
+    for (const auto& piece : c.calls) {
+      const auto took = calls.take(piece, "toolu_" + m_.visit.request_id.substr(4) + "_", m_.uses);
+      if (took == engines::CallAssembler::Took::Garbage) return garbage = true, false;
+      const ToolUse& u = calls.uses().back();
+      if (took == engines::CallAssembler::Took::Opened) {
+        const bool client = m_.rounds->whose(u.name) == Rounds::Whose::Client;
+        out += m_.writer.use(client ? messages::Calls::Client : messages::Calls::Front, u.id, u.name,
+                             m_.servers[u.name]);
+      }
+      out += m_.writer.input(piece.arguments);
+    }
+    return write(out);
+  }
+  bool quiet() override { return !m_.begun || write(messages::AnswerWriter::ping()); }
+
+  std::string text;
+  engines::CallAssembler calls;
+  bool garbage = false;
+
+ private:
+  std::string begin(const Usage& usage) {
+    if (m_.begun || !m_.call.stream) return {};
+    m_.begun = true;
+    if (!m_.visit.connection.begin_stream(
+            200, {{"content-type", "text/event-stream; charset=utf-8"}, {"request-id", m_.visit.request_id}}))
+      gone_ = true;
+    return m_.writer.begin(usage);
+  }
+  bool write(const std::string& out) {
+    return !gone_ && (out.empty() || !m_.call.stream || m_.visit.connection.piece(out));
+  }
+
+  Message& m_;
+  bool gone_ = false;
+};
+
 class Messages : public Protocol {
  public:
-  explicit Messages(Core& core) : core_(core) {}
+  Messages(Core& core, std::shared_ptr<ToolCalls> calls)
+      : core_(core),
+        calls_(std::move(calls)),
+        callers_(callers_kept),
+        workers_(calls_at_once, core.settings().stack, calls_waiting) {}
+  ~Messages() override {
+    // Calls still out hold on to this: they end by their own deadlines.
+    while (workers_.idle() < workers_.count()) usleep(1000);
+  }
 
   bool takes(const std::string& path) const override {
     return path == "/v1/messages" || path == "/v1/messages/count_tokens";
@@ -49,10 +156,11 @@
     auto& call = std::get<messages::Call>(parsed);
     const auto route = route_of(call.model);
     if (!route) return answer(messages::not_found("model: " + call.model), visit, Span{}, true);
-    const std::size_t bytes = intake::bytes_of(call.prompt);
-    const double tokens = core_.estimate_tokens(*route, bytes);
-    if (counting) return visit.connection.respond(200, headers(visit), messages::count_body(tokens), true);
-    return infer(request, call, *route, bytes, tokens, arrived, visit);
+    if (counting)
+      return visit.connection.respond(
+          200, headers(visit),
+          messages::count_body(core_.estimate_tokens(*route, intake::bytes_of(call.prompt))), true);
+    return infer(request, call, *route, arrived, visit);
   }
 
  private:
@@ -69,15 +177,6 @@
     return e;
   }
 
-  struct Relay {
-    Visit& visit;
-    const messages::AnswerWriter& writer;
-    std::shared_ptr<const net::Wake> wake;
-    std::string text;  // of an answer that is not streamed
-    bool stream = false, begun = false;
-    engines::Chunk last;
-  };
-
   std::optional<std::size_t> route_of(const std::string& model) const {
     const auto& routes = core_.settings().routes;
     for (std::size_t k = 0; k < routes.size(); ++k)
@@ -85,8 +184,8 @@
     return std::nullopt;
   }
 
-  static http::Headers headers(const Visit& visit, const char* type = json) {
-    return {{"content-type", type}, {"request-id", visit.request_id}};
+  static http::Headers headers(const Visit& visit) {
+    return {{"content-type", json}, {"request-id", visit.request_id}};
   }
 
   bool answer(const ApiError& e, Visit& visit, Span retry_after, bool keep) {
@@ -100,198 +199,283 @@
     return visit.connection.respond(e.status, h, messages::body_of(e, visit.request_id), keep) && keep;
   }
 
-  bool infer(const http::Request& request, messages::Call& call, std::size_t route, std::size_t bytes,
-             double tokens, Instant arrived, Visit& visit) {
+  bool infer(const http::Request& request, messages::Call& call, std::size_t route, Instant arrived,
+             Visit& visit) {
     const auto& settings = core_.settings();
     const auto& r = settings.routes[route];
+    const auto refused = [&](const std::string& what) {
+      return answer(messages::invalid(what), visit, Span{}, true);
+    };
     if (r.max_tokens > 0 && call.prompt.max_tokens > r.max_tokens)
-      return answer(messages::invalid("max_tokens: " + std::to_string(call.prompt.max_tokens) + " > " +
-                                      std::to_string(static_cast<long>(r.max_tokens)) +
-                                      ", which is the maximum for " + call.model),
-                    visit, Span{}, true);
+      return refused("max_tokens: " + std::to_string(call.prompt.max_tokens) + " > " +
+                     std::to_string(static_cast<long>(r.max_tokens)) + ", which is the maximum for " +
+                     call.model);
+    Message m(visit, call, r, "msg_" + visit.request_id.substr(4));
+    std::vector<rounds::Tool> tools;
+    std::set<std::string> clients;
+    for (const auto& t : call.prompt.tools) clients.insert(t.name);
+    offer_tools(m, clients, tools);
+    const double tokens = core_.estimate_tokens(route, intake::bytes_of(call.prompt));
     const auto budget = intake::budget({r.timeout, r.timeout_per_1000_tokens}, tokens,
                                        http::header(request.headers, settings.budget_header));
     if (!budget)
-      return answer(
-          messages::invalid(settings.budget_header + ": a time in milliseconds, or with ms or s, is wanted"),
-          visit, Span{}, true);
-    Asked asked;
-    asked.route = route;
-    asked.dedupe_key = http::header(request.headers, "idempotency-key");
-    if (r.effect == Effect::Deduped && (asked.dedupe_key.empty() || asked.dedupe_key.size() > 256))
-      return answer(
-          messages::invalid("idempotency-key: a header of 1 to 256 characters is required for " + call.model),
-          visit, Span{}, true);
-    asked.session = intake::session_key(call.user_id, call.prompt);
-    asked.shared_text = intake::shared_key(call.model, call.opening);
-    asked.prompt_tokens = tokens, asked.prompt_bytes = bytes;
-    if (asked.shared_text != 0)
-      asked.shared_tokens =
-          std::min(tokens, tokens * static_cast<double>(call.opening.size()) / static_cast<double>(bytes));
-    asked.ends = arrived + *budget;
-    asked.prompt = std::make_shared<const Prompt>(std::move(call.prompt));
-    const Instant ends = asked.ends;
-    auto wake = std::make_shared<const net::Wake>();
-    if (!wake->ok())
-      return answer(messages::overloaded("this front is out of descriptors"), visit, Span::millis(1000),
-                    true);
-    const auto opened = core_.open(std::move(asked), wake);
-    const auto& ticket = opened.ticket;
-    if (!ticket) return answer(not_taken(opened.why), visit, Span::millis(1000), true);
-    const std::string id = "msg_" + visit.request_id.substr(4);
-    const messages::AnswerWriter writer(id, call.model);
-    Relay relay{visit, writer, std::move(wake), {}, call.stream, false, {}};
-    const char* outcome = "left";
-    const bool keep = attend(*ticket, ends, relay, outcome);
-    core_.closed(*ticket);
+      return refused(settings.budget_header + ": a time in milliseconds, or with ms or s, is wanted");
+    m.base.route = route;
+    m.base.dedupe_key = http::header(request.headers, "idempotency-key");
+    if (r.effect == Effect::Deduped && (m.base.dedupe_key.empty() || m.base.dedupe_key.size() > 256))
+      return refused("idempotency-key: a header of 1 to 256 characters is required for " + call.model);
+    m.base.session = intake::session_key(call.user_id, call.prompt);
+    m.base.shared_text = intake::shared_key(call.model, call.opening);
+    m.caller = callers_.of(m.base.session | 1);
+    m.rounds.emplace(r.relay, std::move(tools), std::move(clients), arrived, *budget, call.stream,
+                     call.prompt.max_tokens);
+    const bool keep = rounds_of(m);
+    if (r.effect == Effect::Deduped && m.inf != 0)
+      core_.key_over(r.name, m.base.dedupe_key, m.ran, m.first_run, m.rounds->unsure());
     core_.log().line(Level::Info, "inference",
-                     {{"inference", std::int64_t{ticket->inf()}},
+                     {{"inference", std::int64_t{m.inf}},
                       {"request_id", visit.request_id},
                       {"route", r.name},
-                      {"outcome", outcome},
+                      {"outcome", m.outcome},
                       {"ms", (clock_now() - arrived).as_millis()},
-                      {"prompt_tokens", tokens}});
+                      {"prompt_tokens", tokens},
+                      {"rounds", std::int64_t{m.rounds->round()}},
+                      {"calls", static_cast<std::int64_t>(m.rounds->calls_made())}});
     return keep;
   }
 
-  // Waits for what the module decides, with an eye on the client.
-  bool attend(Ticket& ticket, Instant ends, Relay& relay, const char*& outcome) {
-    const int client = relay.visit.connection.stream().fd();
-    for (;;) {
-      const auto waited = net::wait_for(*relay.wake, client, ends + Span::millis(5));
-      auto said = ticket.take();
-      if (auto* stream = std::get_if<std::unique_ptr<EngineStream>>(&said))
-        return follow(ticket, std::move(*stream), ends, relay, outcome);
-      if (const auto* final = std::get_if<Final>(&said)) return finish(*final, relay, outcome);
-      if (waited == net::Waited::Woken) continue;
-      // The client has left, or the module's owner did not answer in time (guards rule 1 against a stalled
-      // owner).
-      if (ticket.leave()) {
-        core_.left(ticket);
-        if (waited == net::Waited::PeerLeft) return false;
-        outcome = "errored";
-        return answer(messages::timed_out("the inference did not end in time"), relay.visit, Span{}, true);
-      }
-      // Something was claimed in that very moment: a final answer is here; a stream that is not, ends by
-      // itself.
-      auto late = ticket.take();
-      if (waited == net::Waited::PeerLeft) {
-        if (auto* stream = std::get_if<std::unique_ptr<EngineStream>>(&late))
-          core_.stream_ended(ticket, EndedAs::Cancelled, std::move(*stream));
-        return false;
-      }
-      if (auto* stream = std::get_if<std::unique_ptr<EngineStream>>(&late))
-        return follow(ticket, std::move(*stream), ends, relay, outcome);
-      if (const auto* final = std::get_if<Final>(&late)) return finish(*final, relay, outcome);
-      outcome = "errored";
-      return answer(messages::timed_out("the inference did not end in time"), relay.visit, Span{}, true);
+  // What the route's settings relay is offered to the model beside what the client offers, first and always
+  // in the same order: all clients share that part of the prompt.
+  void offer_tools(Message& m, const std::set<std::string>& clients, std::vector<rounds::Tool>& tools) {
+    if (!calls_ || m.route.relay.tools.empty()) return;
+    std::vector<ToolOffer> offers;
+    std::string opening;
+    for (auto& o : calls_->offered()) {
+      if (clients.contains(o.tool.name) || !rounds::calls(m.route.relay, o.tool.name)) continue;
+      tools.push_back({o.tool.name, o.effect});
+      m.servers[o.tool.name] = o.server;
+      opening += o.tool.name + o.tool.description + o.tool.schema;
+      offers.push_back(std::move(o.tool));
     }
+    auto& all = m.call.prompt.tools;
+    all.insert(all.begin(), std::make_move_iterator(offers.begin()), std::make_move_iterator(offers.end()));
+    m.call.opening = opening + m.call.opening;
   }
 
-  bool finish(const Final& f, Relay& relay, const char*& outcome) {
-    using H = Final::How;
-    outcome = f.how == H::Shed ? "shed" : "errored";
-    switch (f.how) {
-      case H::Shed:
-        return answer(messages::overloaded("no engine can answer this in time; trying again is harmless"),
-                      relay.visit, f.retry_after, true);
-      case H::Refused: {
-        ApiError e = messages::invalid(f.message.empty() ? "the engine refused the prompt" : f.message);
-        return answer(e, relay.visit, Span{}, true);
-      }
-      case H::Stopping:
-        return answer(messages::failed("this front is stopping; the outcome is unknown"), relay.visit, Span{},
-                      false);
-      case H::Errored: break;
+  Asked next_inference(Message& m, int round) {
+    Asked a = m.base;
+    const Prompt& p = m.call.prompt;
+    a.prompt_bytes = intake::bytes_of(p);
+    a.prompt_tokens = core_.estimate_tokens(a.route, a.prompt_bytes);
+    if (a.shared_text != 0)
+      a.shared_tokens =
+          std::min(a.prompt_tokens, a.prompt_tokens * static_cast<double>(m.call.opening.size()) /
+                                        static_cast<double>(a.prompt_bytes));
+    a.ends = m.rounds->ends();
+    a.prompt = std::make_shared<const Prompt>(p);
+    // A later round is another inference to the engines, but the client's key is the message's.
+    a.key_taken = round > 0;
+    if (round > 0 && !a.dedupe_key.empty()) a.dedupe_key += "~" + std::to_string(round + 1);
+    return a;
+  }
+
+  bool rounds_of(Message& m) {
+    for (int round = 0;; ++round) {
+      Answering answering(core_);
+      if (!answering.ok())
+        return fail(m, messages::overloaded("this front is out of descriptors"), Span::millis(1000), true);
+      const Answering::Terms terms{m.rounds->ends(), m.call.stream, m.begun,
+                                   m.visit.connection.stream().fd()};
+      RoundReader reader(m);
+      AnswerEnd end = answering.run(next_inference(m, round), terms, reader);
+      if (end.how == AnswerEnd::How::Left && reader.garbage)
+        end.how = AnswerEnd::How::Broken, end.message = "the engine's answer can't be read";
+      if (m.inf == 0) m.inf = end.inf;
+      if (end.ran && !m.ran) m.ran = true, m.first_run = end.first_run;
+      if (end.how != AnswerEnd::How::Completed) return failed(m, end);
+      m.usage.prompt_tokens += end.usage.prompt_tokens, m.usage.kept_tokens += end.usage.kept_tokens,
+          m.usage.answer_tokens += end.usage.answer_tokens;
+      m.last = std::move(end.last);
+      const bool cut = m.last.finish == "length";
+      std::vector<rounds::Use> uses;
+      for (const auto& u : reader.calls.uses())
+        uses.push_back({u.id, u.name, u.input, engines::is_object(u.input)});
+      auto steps = m.rounds->answer_ended(clock_now(), std::move(uses), cut, end.usage.answer_tokens);
+      const auto next = carry_out(m, std::move(steps));
+      if (const auto* over = std::get_if<bool>(&next)) return *over;
+      add_turns(m, std::move(reader.text));
+      m.call.prompt.max_tokens = std::get<rounds::NextRound>(next).max_tokens;
+      // What was forced has been done once; forced again it would go on without end.
+      using H = ToolChoice::How;
+      auto& choice = m.call.prompt.choice;
+      if (choice.how == H::Any || choice.how == H::One) choice.how = H::Auto;
     }
-    return answer(f.outcome_unknown
-                      ? messages::failed("no answer came; it may have run, and its outcome is unknown")
-                      : messages::timed_out("no answer came in time"),
-                  relay.visit, Span{}, true);
   }
 
-  // The answer has begun. Relays it to its end; a failure from here on is exactly one error event.
-  bool follow(Ticket& ticket, std::unique_ptr<EngineStream> stream, Instant ends, Relay& relay,
-              const char*& outcome) {
-    auto& connection = relay.visit.connection;
-    relay.wake.reset();
-    const auto& settings = core_.settings();
-    using Next = EngineStream::Next;
-    Instant heard = clock_now(), wrote = heard;
-    double pieces = 0;
-    EndedAs ended = EndedAs::Completed;
-    ApiError problem;
-    for (bool more = true; more;) {
-      engines::Chunk chunk;
-      // A client that does not stream has its budget for the whole answer.
-      Instant until = clock_now() + std::min(settings.ping, Span::millis(1000));
-      if (!relay.stream) until = std::min(until, ends - Span::millis(10));
-      const Next next = stream->next(chunk, until, connection.stream().fd());
-      bool taken = true;
-      switch (next) {
-        case Next::Chunk:
-          heard = clock_now(), pieces += chunk.text.empty() ? 0 : 1;
-          taken = pass(relay, *stream, chunk), wrote = clock_now();
-          if (!chunk.finish.empty()) relay.last = std::move(chunk);
-          break;
-        case Next::Finished: more = false; break;
-        case Next::Broken: ended = EndedAs::Reset, problem = messages::failed("the engine broke off"); break;
-        case Next::Garbage:
-          ended = EndedAs::Errored, problem = messages::failed("the engine's answer can't be read");
-          break;
-        case Next::ClientLeft: ended = EndedAs::Cancelled; break;
-        case Next::Silent:
-          if (core_.aborting())
-            ended = EndedAs::Cancelled, problem = messages::failed("this front is stopping");
-          else if (!relay.stream && clock_now() >= ends - Span::millis(10))
-            ended = EndedAs::Cancelled, problem = messages::timed_out("the answer was not whole in time");
-          else if (clock_now() - heard > settings.stream_silence)
-            ended = EndedAs::TimedOut, problem = messages::failed("the engine fell silent");
-          else if (relay.stream && clock_now() - wrote >= settings.ping)
-            taken = connection.piece(messages::AnswerWriter::ping()), wrote = clock_now();
-          break;
+  // The round that ended, as the model will see it.
+  static void add_turns(Message& m, std::string text) {
+    Turn said{true, std::move(text), {}, {}}, told{false, {}, {}, {}};
+    for (auto& s : m.rounds->settled()) {
+      said.uses.push_back({s.use.id, s.use.name, s.use.object ? s.use.input : "{}"});
+      if (s.result) told.results.push_back({s.use.id, s.result->text, s.result->error});
+    }
+    m.call.prompt.turns.push_back(std::move(said));
+    m.call.prompt.turns.push_back(std::move(told));
+  }
+
+  // Does what the rounds say until another answer is wanted, or the message is over: then whether the
+  // connection may be kept.
+  std::variant<bool, rounds::NextRound> carry_out(Message& m, std::vector<rounds::Step> steps) {
+    std::shared_ptr<CallBox> box;
+    std::map<std::size_t, ToolCalls::CallId> out;
+    const int client = m.visit.connection.stream().fd();
+    Instant wrote = clock_now();
+    for (bool left = false;;) {
+      for (const auto& step : steps) {
+        if (const auto* c = std::get_if<rounds::MakeCall>(&step)) {
+          if (!box) box = std::make_shared<CallBox>();
+          start_call(m, *c, box, out);
+        } else if (const auto* d = std::get_if<rounds::DropCall>(&step)) {
+          if (const auto it = out.find(d->use); it != out.end()) calls_->cancel(it->second);
+        } else if (const auto* s = std::get_if<rounds::ShowResult>(&step)) {
+          const auto text =
+              m.writer.result(m.rounds->settled()[s->use].use.id, s->result.text, s->result.error);
+          left = left || (m.call.stream && !m.visit.connection.piece(text)), wrote = clock_now();
+        } else if (const auto* n = std::get_if<rounds::NextRound>(&step)) {
+          return *n;
+        } else if (const auto* e = std::get_if<rounds::EndMessage>(&step)) {
+          return finish(m, e->why);
+        } else if (const auto* f = std::get_if<rounds::FailMessage>(&step)) {
+          return fail(m, messages::timed_out(f->what), Span{}, m.rounds->harmless());
+        }
+      }
+      steps.clear();
+      if (left || core_.aborting()) {
+        for (const auto& step : m.rounds->give_up())
+          if (const auto* d = std::get_if<rounds::DropCall>(&step)) calls_->cancel(out[d->use]);
+        if (left) return false;
+        return fail(m, messages::failed("this front is stopping"), Span{}, false);
       }
-      // A client that does not read, or has gone: whatever the engine still writes is for nobody.
-      if (!taken) ended = EndedAs::Cancelled, problem = {};
-      if (ended == EndedAs::Completed && core_.aborting() && clock_now() - heard > Span::millis(1000))
-        ended = EndedAs::Cancelled;
-      if (ended != EndedAs::Completed) more = false;
+      const Instant until =
+          std::min({m.rounds->ends(), clock_now() + Span::millis(500), wrote + core_.settings().ping});
+      left = net::wait_for(box->wake, client, until) == net::Waited::PeerLeft;
+      for (auto& e : box->take())
+        for (auto& s : m.rounds->call_ended(clock_now(), e.use, e.ran, std::move(e.result)))
+          steps.push_back(std::move(s));
+      for (auto& s : m.rounds->tick(clock_now())) steps.push_back(std::move(s));
+      if (m.begun && clock_now() - wrote >= core_.settings().ping)
+        left = left || !m.visit.connection.piece(messages::AnswerWriter::ping()), wrote = clock_now();
     }
-    Usage usage = stream->usage();
-    if (usage.answer_tokens <= 0) usage.answer_tokens = pieces;
-    core_.stream_ended(ticket, ended, std::move(stream));
-    if (ended == EndedAs::Completed) {
-      outcome = "completed";
-      const auto reason = reason_of(relay.last);
-      if (!relay.stream)
-        return connection.respond(200, headers(relay.visit),
-                                  relay.writer.whole(relay.text, reason, relay.last.stop, usage), true);
-      return connection.piece(relay.writer.end(reason, relay.last.stop, usage)) && connection.end_stream();
+  }
+
+  void start_call(Message& m, const rounds::MakeCall& c, const std::shared_ptr<CallBox>& box,
+                  std::map<std::size_t, ToolCalls::CallId>& out) {
+    const auto use = m.rounds->settled()[c.use].use;
+    const std::string params =
+        rpc::with_member(rpc::with_member("{}", {"name"}, rpc::quoted(use.name)), {"arguments"}, use.input);
+    ToolCalls::Order order{use.name, params, false, c.until};
+    const auto id = calls_->begin(*m.caller, order);
+    out[c.use] = id;
+    const bool begun =
+        box->wake.ok() && workers_.submit([this, box, id, order, number = c.use, caller = m.caller] {
+          ToolCalls::Ear nobody;
+          const auto done = calls_->make(id, *caller, order, nobody);
+          box->put({number, done.unsure ? Ran::Unknown : done.ran ? Ran::Yes : Ran::No, result_of(done)});
+        });
+    if (begun) return;
+    calls_->abandon(id);
+    box->put({c.use, Ran::No, {"this front makes no more calls just now; it did not run", true}});
+  }
+
+  // What the model is told of a call.
+  static rounds::Result result_of(const ToolCalls::Done& d) {
+    using H = ToolCalls::Done::How;
+    using W = tools::FailCall::Why;
+    if (d.how == H::Cancelled) return {"the call was called off", true};
+    if (d.how == H::Answered) {
+      if (!d.error.empty())
+        return {rpc::member_text(d.error, {"message"}).value_or("the tool server refused the call"), true};
+      auto said = rpc::text_of_result(d.result);
+      return {std::move(said.text), said.error};
+    }
+    switch (d.fail.why) {
+      case W::UnknownTool: return {"no tool of this name is offered; it did not run", true};
+      case W::Busy: return {"too many calls wait for this tool; it did not run", true};
+      case W::NoServer: return {"no server could take the call; it did not run", true};
+      case W::TimedOut: return {"the call could not be made in time; it did not run", true};
+      case W::OutcomeUnknown: break;
     }
-    outcome = problem.message.empty() ? "left" : "errored";
-    if (problem.message.empty()) return false;
-    if (!relay.begun) return answer(problem, relay.visit, Span{}, true);
-    return connection.piece(messages::AnswerWriter::error(problem)) && connection.end_stream();
+    return {"no answer came: the tool may have run, and its outcome is unknown", true};
+  }
+
+  bool finish(Message& m, rounds::EndMessage::Why why) {
+    using W = rounds::EndMessage::Why;
+    m.outcome = "completed";
+    const StopReason reason = why == W::ForClient   ? StopReason::ToolUse
+                              : why == W::Paused    ? StopReason::PauseTurn
+                              : why == W::MaxTokens ? StopReason::MaxTokens
+                                                    : reason_of(m.last);
+    const auto text = m.writer.end(reason, m.last.stop, m.usage);
+    if (!m.call.stream) return m.visit.connection.respond(200, headers(m.visit), text, true);
+    return m.visit.connection.piece(text) && m.visit.connection.end_stream();
+  }
+
+  // A failure is one error: an answer, or the last event of a stream that has begun.
+  bool fail(Message& m, const ApiError& e, Span retry_after, bool keep) {
+    m.outcome = e.status == 529 ? "shed" : "errored";
+    if (!m.begun) return answer(e, m.visit, retry_after, keep);
+    return m.visit.connection.piece(messages::AnswerWriter::error(e)) && m.visit.connection.end_stream();
   }
 
-  static bool pass(Relay& relay, const EngineStream& stream, const engines::Chunk& chunk) {
-    if (!relay.stream) return relay.text += chunk.text, true;
-    std::string out;
-    if (!relay.begun) {
-      relay.begun = true;
-      if (!relay.visit.connection.begin_stream(200, headers(relay.visit, "text/event-stream; charset=utf-8")))
-        return false;
-      out = relay.writer.begin(stream.usage());
+  bool failed(Message& m, const AnswerEnd& end) {
+    using H = AnswerEnd::How;
+    // What an earlier round did, or its calls, may have had an effect: then a shed reply would invite a
+    // second one (rule 2).
+    const bool shed =
+        end.how == H::Shed || (end.how == H::NotTaken && end.not_taken == Core::Opened::Why::Full);
+    if (shed && (!m.rounds->harmless() || (m.rounds->round() > 0 && m.route.effect != Effect::Retriable)))
+      return fail(m, messages::failed("no engine took the message on; what it did so far may have run"),
+                  Span{}, true);
+    switch (end.how) {
+      case H::Shed:
+        return fail(m, messages::overloaded("no engine can answer this in time; trying again is harmless"),
+                    end.retry_after, true);
+      case H::NotTaken: return fail(m, not_taken(end.not_taken), end.retry_after, true);
+      case H::Refused:
+        return fail(m, messages::invalid(end.message.empty() ? "the engine refused the prompt" : end.message),
+                    Span{}, true);
+      case H::Stopping:
+        return fail(m,
+                    messages::failed(end.message.empty() ? "this front is stopping; the outcome is unknown"
+                                                         : end.message),
+                    Span{}, false);
+      case H::Left: return false;
+      case H::Broken:
+        return fail(m,
+                    end.begun && !m.call.stream && clock_now() >= m.rounds->ends() - Span::millis(10)
+                        ? messages::timed_out(end.message)
+                        : messages::failed(end.message),
+                    Span{}, true);
+      case H::Completed:
+      case H::Late: break;
     }
-    if (!chunk.text.empty()) out += relay.writer.delta(chunk.text);
-    return relay.visit.connection.piece(out);
+    return fail(m,
+                end.outcome_unknown
+                    ? messages::failed("no answer came; it may have run, and its outcome is unknown")
+                    : messages::timed_out("no answer came in time"),
+                Span{}, true);
   }
 
   Core& core_;
+  const std::shared_ptr<ToolCalls> calls_;
+  CallerBook callers_;
+  Workers workers_;  // of calls
 };
 
 }  // namespace
 
-std::unique_ptr<Protocol> messages_front(Core& core) { return std::make_unique<Messages>(core); }
+std::unique_ptr<Protocol> messages_front(Core& core, std::shared_ptr<ToolCalls> calls) {
+  return std::make_unique<Messages>(core, std::move(calls));
+}
 
 }  // namespace calicograde::front
--- a/src/front/tools_front.cpp
+++ b/src/front/tools_front.cpp
@@ -1,43 +1,34 @@
 #include "front/tools_front.hpp"
 
 #include <algorithm>
-#include <atomic>
 #include <condition_variable>
-#include <functional>
 #include <map>
 #include <random>
-#include <thread>
 
-#include "front/links.hpp"
 #include "net/clock.hpp"
 #include "rpc/message.hpp"
 #include "rpc/session.hpp"
-#include "tools/tool_desk.hpp"
 
 namespace calicograde::front {
 namespace {
 
-using http::BodyEnd;
-using log::Level;
 using net::clock_now;
-using tools::CallEnd;
 using tools::CallId;
 
-constexpr std::size_t answer_bytes = 4 << 20;  // of one event or body of a tool server
 constexpr std::size_t calls_a_session = 64;
-constexpr Span connect_time = Span::millis(250), list_time = Span::millis(2000), tick = Span::millis(50);
 constexpr Span session_life = Span::millis(30 * 60 * 1000);
 const char* const json = "application/json";
 
 // A client's session, shared by the threads of its connections.
 struct Client {
-  Client(std::string id, std::size_t kept) : session(std::move(id), calls_a_session, kept) {}
+  Client(std::string id, std::size_t kept, std::uint64_t key, std::string capabilities, std::string info)
+      : session(std::move(id), calls_a_session, kept),
+        caller(key, std::move(capabilities), std::move(info)) {}
   std::mutex mutex;
   std::condition_variable changed;
   rpc::Session session;
-  std::string capabilities = "{}", info = "{}";
+  Caller caller;
   std::map<rpc::Id, CallId> calls;
-  std::map<std::size_t, std::string> upstream;  // its session at each tool server, once it has one there
   struct Asked {
     std::size_t server = 0;
     std::string upstream;
@@ -49,42 +40,16 @@
   bool over = false;
 };
 
-// What the desk wants of the thread that attends a call.
-struct Post {
-  std::mutex mutex;
-  net::Wake wake;
-  std::optional<tools::SendCall> send;
-  std::optional<tools::FailCall> fail;
-  bool stop = false, cancelled = false;
-};
-
 class Tools : public Protocol {
  public:
-  explicit Tools(Core& core)
-      : core_(core),
-        settings_(*core.settings().tools),
-        desk_(settings_.desk),
-        links_(Span::millis(15000), 64) {
+  Tools(Core& core, std::shared_ptr<ToolCalls> calls)
+      : core_(core), calls_(std::move(calls)), settings_(calls_->settings()) {
     std::random_device chance;
     salt_ = std::uint64_t{chance()} << 32 | chance();
-    // What the tools are is asked at once, and then now and again; the desk looks for silence in between.
-    lister_ = std::thread([this] { list(); });
-    ticker_ = std::thread([this] { ticking(); });
-  }
-  ~Tools() override {
-    {
-      const std::lock_guard lock(desk_mutex_);
-      stopping_ = true;
-    }
-    stopped_.notify_all();
-    lister_.join(), ticker_.join();
   }
 
   bool takes(const std::string& path) const override { return path == settings_.path; }
-  std::size_t open() const override {
-    const std::lock_guard lock(desk_mutex_);
-    return posts_.size();
-  }
+  std::size_t open() const override { return calls_->open(); }
 
   void refuse(int status, const std::string& what, Visit& visit) override {
     reply(visit, status, rpc::error_text({}, rpc::invalid_message, what), false);
@@ -173,7 +138,7 @@
                   arrived, visit);
     std::string body;
     if (r->method == "ping") body = rpc::text_of(rpc::Response{r->id, "{}", {}});
-    else if (r->method == "tools/list") body = rpc::text_of(rpc::Response{r->id, catalogue(), {}});
+    else if (r->method == "tools/list") body = rpc::text_of(rpc::Response{r->id, calls_->catalogue(), {}});
     else
       body = rpc::error_text(r->id, rpc::unknown_method,
                              "method " + r->method.substr(0, 100) + " is not served here");
@@ -192,10 +157,11 @@
     std::random_device chance;
     char id[40];
     std::snprintf(id, sizeof id, "%08x%08x%08x%08x", chance(), chance(), chance(), chance());
-    auto client = std::make_shared<Client>(id, settings_.kept_bytes);
+    auto client =
+        std::make_shared<Client>(id, settings_.kept_bytes, (std::hash<std::string>{}(id) ^ salt_) | 1,
+                                 rpc::member_json(r.params, {"capabilities"}).value_or("{}"),
+                                 rpc::member_json(r.params, {"clientInfo"}).value_or("{}"));
     client->session.ask(r), client->session.answer(r.id);
-    client->capabilities = rpc::member_json(r.params, {"capabilities"}).value_or("{}");
-    client->info = rpc::member_json(r.params, {"clientInfo"}).value_or("{}");
     const std::string revision = rpc::agreed_revision(*asked);
     client->session.opened(revision, rpc::member_json(r.params, {"capabilities", "sampling"}).has_value(),
                            rpc::member_json(r.params, {"capabilities", "elicitation"}).has_value());
@@ -225,14 +191,7 @@
         // A cancel that crosses the result changes nothing.
         if (id && client.session.cancel(*id) && client.calls.contains(*id)) call = client.calls[*id];
       }
-      if (call) {
-        const std::lock_guard lock(desk_mutex_);
-        if (const auto it = posts_.find(*call); it != posts_.end()) {
-          const std::lock_guard post(it->second->mutex);
-          it->second->cancelled = true, it->second->wake.raise();
-        }
-        dispatch(desk_.cancelled(clock_now(), *call));
-      }
+      if (call) calls_->cancel(*call);
     }
     return visit.connection.respond(202, {}, "", true);
   }
@@ -248,7 +207,7 @@
     if (!asked)
       return reply(visit, 400, rpc::error_text({}, rpc::invalid_message, "nothing was asked under this id"),
                    true);
-    tell(asked->server, asked->upstream, rpc::text_of(rpc::Response{asked->id, a.result, a.error}));
+    calls_->tell(asked->server, asked->upstream, rpc::text_of(rpc::Response{asked->id, a.result, a.error}));
     return visit.connection.respond(202, {}, "", true);
   }
 
@@ -259,26 +218,13 @@
       for (const auto& [id, c] : client.calls) calls.push_back(c);
       client.over = true, client.changed.notify_all();
     }
-    {
-      const std::lock_guard lock(desk_mutex_);
-      for (const CallId c : calls) {
-        if (const auto it = posts_.find(c); it != posts_.end()) {
-          const std::lock_guard post(it->second->mutex);
-          it->second->cancelled = true, it->second->wake.raise();
-        }
-        dispatch(desk_.cancelled(clock_now(), c));
-      }
-      desk_.session_over(key_of(client));
-    }
+    for (const CallId c : calls) calls_->cancel(c);
+    calls_->session_over(client.caller.key());
     const std::lock_guard lock(clients_mutex_);
     clients_.erase(client.session.id());
     return visit.connection.respond(204, {}, "", true);
   }
 
-  std::uint64_t key_of(const Client& client) const {
-    return (std::hash<std::string>{}(client.session.id()) ^ salt_) | 1;
-  }
-
   // ---- streams and their resumption
   // ---------------------------------------------------------------------------
   static std::string event(const std::string& id, const std::string& data) {
@@ -321,13 +267,56 @@
   }
 
   // ---- calls
-  // -------------------------------------------------------------------------------------------------- One
-  // call on its way: the stream that its client is owed, whether or not anybody listens just now.
-  struct Way {
+
+  // One call on its way: the stream that its client is owed, whether or not anybody listens just now. The
+  // client may leave and come back meanwhile.
+  struct Way : ToolCalls::Ear {
+    Way(ClientRef c, const rpc::Request& r, Visit& v, bool s)
+        : client(std::move(c)),
+          request(r),
+          visit(v),
+          streams(s),
+          token(rpc::member_json(r.params, {"_meta", "progressToken"}).value_or("")) {}
+    void progress(const std::string& params) override {
+      // Under the client's own token again.
+      say(rpc::text_of(rpc::Notification{"notifications/progress",
+                                         rpc::with_member(params, {"progressToken"}, token)}),
+          false);
+    }
+    void message(const std::string& text) override { say(text, false); }
+    bool asked(std::size_t server, const std::string& upstream, const rpc::Request& q) override {
+      std::string mine;
+      {
+        const std::lock_guard lock(client->mutex);
+        if (!streams || !client->session.may_be_asked(q.method) ||
+            client->asked_back.size() >= calls_a_session)
+          return false;
+        mine = "\"back-" + std::to_string(client->next_back++) + "\"";
+        client->asked_back[mine] = {server, upstream, q.id};
+      }
+      say(rpc::text_of(rpc::Request{mine, q.method, q.params}), false);
+      return true;
+    }
+    // One message for the client: kept for resumption first, then written if anybody listens.
+    void say(const std::string& message, bool last) {
+      if (!streams) {
+        if (last && listening) listening = reply(visit, 200, message, true);
+        return;
+      }
+      std::string id;
+      {
+        const std::lock_guard lock(client->mutex);
+        id = client->session.add(stream, message);
+        client->changed.notify_all();
+      }
+      if (!listening) return;
+      if (!begun)
+        listening = visit.connection.begin_stream(200, {{"content-type", "text/event-stream"}}), begun = true;
+      listening = listening && visit.connection.piece(event(id, message));
+    }
+
     ClientRef client;
-    rpc::Request request;
-    CallId id = 0;
-    std::shared_ptr<Post> post;
+    const rpc::Request& request;
     Visit& visit;
     bool streams = false, begun = false, listening = true;
     std::uint64_t stream = 0;
@@ -342,34 +331,21 @@
       return reply(visit, 200, rpc::error_text(r.id, code, what), true);
     };
     if (!name || name->empty()) return finish_early(rpc::bad_params, "name: a string is wanted");
-    Way way{client,
-            r,
-            next_call_++,
-            std::make_shared<Post>(),
-            visit,
-            streams,
-            false,
-            true,
-            0,
-            rpc::member_json(r.params, {"_meta", "progressToken"}).value_or("")};
-    if (!way.post->wake.ok() || core_.aborting())
-      return finish_early(rpc::busy, "this front takes no more just now");
-    const Span time_out = desk_.rule_of(*name).time_out;
+    if (core_.aborting()) return finish_early(rpc::busy, "this front takes no more just now");
+    Way way(client, r, visit, streams);
+    const ToolCalls::Order order{*name, r.params, !way.token.empty(), arrived + calls_->time_of(*name)};
+    const CallId id = calls_->begin(client->caller, order);
     {
       const std::lock_guard lock(client->mutex);
-      client->calls[r.id] = way.id;
+      client->calls[r.id] = id;
       way.stream = client->session.begin_stream();
     }
-    {
-      const std::lock_guard lock(desk_mutex_);
-      posts_[way.id] = way.post;
-      dispatch(desk_.called(clock_now(), way.id, *name, key_of(*client), arrived + time_out));
-    }
-    const bool keep = attend(way, arrived + time_out + Span::millis(1000));
-    {
-      const std::lock_guard lock(desk_mutex_);
-      posts_.erase(way.id);
-    }
+    const ToolCalls::Done done = calls_->make(id, client->caller, order, way);
+    using H = ToolCalls::Done::How;
+    const bool keep =
+        finish(way, done.how == H::Cancelled ? ""
+                    : done.how == H::Failed  ? words_of(done.fail, r.id)
+                                             : rpc::text_of(rpc::Response{r.id, done.result, done.error}));
     const std::lock_guard lock(client->mutex);
     client->calls.erase(r.id);
     client->session.end_stream(way.stream);
@@ -377,34 +353,6 @@
     return keep;
   }
 
-  // Does what the desk says until the call has its answer. The client may leave and come back meanwhile.
-  bool attend(Way& w, Instant last) {
-    for (;;) {
-      std::optional<tools::SendCall> send;
-      std::optional<tools::FailCall> fail;
-      bool cancelled = false;
-      {
-        const std::lock_guard lock(w.post->mutex);
-        send = std::exchange(w.post->send, {}), fail = w.post->fail, cancelled = w.post->cancelled,
-        w.post->stop = false;
-        w.post->wake.clear();
-      }
-      if (cancelled) return finish(w, {});
-      if (send) {
-        if (attempt(w, *send)) return w.listening;
-        continue;
-      }
-      if (fail) return finish(w, words_of(*fail, w.request.id));
-      if (clock_now() >= last || core_.aborting()) {
-        const std::lock_guard lock(desk_mutex_);
-        dispatch(desk_.cancelled(clock_now(), w.id));
-        return finish(w, rpc::error_text(w.request.id, rpc::outcome_unknown,
-                                         "no answer came; whether the tool ran is unknown"));
-      }
-      net::wait_for(w.post->wake, -1, std::min(last, clock_now() + Span::millis(500)));
-    }
-  }
-
   static std::string words_of(const tools::FailCall& f, const rpc::Id& id) {
     using W = tools::FailCall::Why;
     switch (f.why) {
@@ -430,402 +378,25 @@
       const std::lock_guard lock(w.client->mutex);
       owed = w.client->session.answer(w.request.id);
     }
-    if (owed && !response.empty()) say(w, response, true);
+    if (owed && !response.empty()) w.say(response, true);
     if (!w.listening) return false;
     if (w.begun) return w.visit.connection.end_stream();
     if (!owed || response.empty()) return w.visit.connection.respond(202, {}, "", true);
     return true;
   }
 
-  // One message for the client: kept for resumption first, then written if anybody listens.
-  void say(Way& w, const std::string& message, bool last) {
-    if (!w.streams) {
-      if (last && w.listening) w.listening = reply(w.visit, 200, message, true);
-      return;
-    }
-    std::string id;
-    {
-      const std::lock_guard lock(w.client->mutex);
-      id = w.client->session.add(w.stream, message);
-      w.client->changed.notify_all();
-    }
-    if (!w.listening) return;
-    if (!w.begun)
-      w.listening = w.visit.connection.begin_stream(200, {{"content-type", "text/event-stream"}}),
-      w.begun = true;
-    w.listening = w.listening && w.visit.connection.piece(event(id, message));
-  }
-
-  void ended(CallId id, std::uint32_t send, CallEnd how) {
-    const std::lock_guard lock(desk_mutex_);
-    dispatch(desk_.ended(clock_now(), id, send, how));
-  }
-
-  // One send of a call. True: the client has its answer.
-  bool attempt(Way& w, const tools::SendCall& s) {
-    CallEnd how = CallEnd::NotReached;
-    std::string answer;
-    auto link = connect(s.server, s.until);
-    if (link) {
-      const auto upstream = upstream_of(*w.client, s.server, *link, s.until);
-      if (upstream) how = relay(w, s, *upstream, *link, answer);
-    }
-    if (how == CallEnd::Answered && !link->reusable()) link.reset();
-    if (how == CallEnd::Answered && link)
-      links_.give_back(settings_.servers[s.server].address, std::move(*link));
-    ended(w.id, s.send, how);
-    if (how != CallEnd::Answered) {
-      core_.log().line(Level::Info, "tool send ended",
-                       {{"call", static_cast<std::int64_t>(w.id)},
-                        {"send", std::int64_t{s.send}},
-                        {"server", settings_.servers[s.server].name},
-                        {"reason", word(how)}});
-      return false;
-    }
-    finish(w, answer);
-    return true;
-  }
-
-  static const char* word(CallEnd e) {
-    switch (e) {
-      case CallEnd::Answered: return "answered";
-      case CallEnd::NotReached: return "not reached";
-      case CallEnd::TurnedAway: return "turned away";
-      case CallEnd::Broken: return "broken";
-      case CallEnd::Garbage: return "garbage";
-      case CallEnd::Cancelled: break;
-    }
-    return "cancelled";
-  }
-
-  std::optional<http::ClientConnection> connect(std::size_t server, Instant until) {
-    const auto& at = settings_.servers[server].address;
-    if (auto kept = links_.take(at)) return kept;
-    auto [how, stream] = net::Stream::connect(at, std::min(until, clock_now() + connect_time));
-    if (how != net::ConnectEnd::Connected) return std::nullopt;
-    return http::ClientConnection(std::move(stream));
-  }
-
-  http::Headers headers_for(const std::string& upstream, const char* revision) const {
-    http::Headers h{{"host", core_.settings().name},
-                    {"content-type", json},
-                    {"accept", "application/json, text/event-stream"}};
-    if (!upstream.empty()) h.emplace_back("mcp-session-id", upstream);
-    if (revision) h.emplace_back("mcp-protocol-version", revision);
-    return h;
-  }
-
-  // Opens a session at a tool server; its id ("" where the server keeps none), or none.
-  std::optional<std::string> open_upstream(std::size_t server, http::ClientConnection& link,
-                                           const std::string& capabilities, const std::string& info,
-                                           Instant until) {
-    const std::string& path = settings_.servers[server].path;
-    const rpc::Request hello{
-        "0", "initialize",
-        "{\"protocolVersion\":\"" + rpc::revisions().front() + "\",\"capabilities\":" + capabilities +
-            ",\"clientInfo\":" + (info == "{}" ? R"({"name":"calicograde","version":"1"})" : info) + "}"};
-    http::Response head;
-    std::string body;
-    if (!link.ask("POST", path, headers_for("", nullptr), rpc::text_of(hello), until) ||
-        link.read_head(head, until) != BodyEnd::Done ||
-        link.read_whole(body, until, answer_bytes) != BodyEnd::Done || head.status != 200)
-      return std::nullopt;
-    const std::string id(http::header(head.headers, "mcp-session-id"));
-    http::Response ready;
-    std::string nothing;
-    if (!link.ask("POST", path, headers_for(id, rpc::revisions().front().c_str()),
-                  rpc::text_of(rpc::Notification{"notifications/initialized", {}}), until) ||
-        link.read_head(ready, until) != BodyEnd::Done ||
-        link.read_whole(nothing, until, answer_bytes) != BodyEnd::Done)
-      return std::nullopt;
-    return id;
-  }
-
-  std::optional<std::string> upstream_of(Client& client, std::size_t server, http::ClientConnection& link,
-                                         Instant until) {
-    std::string capabilities, info;
-    {
-      const std::lock_guard lock(client.mutex);
-      if (const auto it = client.upstream.find(server); it != client.upstream.end()) return it->second;
-      capabilities = client.capabilities, info = client.info;
-    }
-    const auto id = open_upstream(server, link, capabilities, info, std::min(until, clock_now() + list_time));
-    if (!id) return std::nullopt;
-    const std::lock_guard lock(client.mutex);
-    return client.upstream.emplace(server, *id).first->second;
-  }
-
-  // A message to a server beside a call: an answer to what it asked back, or a cancel.
-  void tell(std::size_t server, const std::string& upstream, const std::string& message) {
-    const Instant until = clock_now() + list_time;
-    http::Response head;
-    std::string body;
-    auto link = connect(server, until);
-    if (link &&
-        link->ask("POST", settings_.servers[server].path,
-                  headers_for(upstream, rpc::revisions().front().c_str()), message, until) &&
-        link->read_head(head, until) == BodyEnd::Done &&
-        link->read_whole(body, until, answer_bytes) == BodyEnd::Done)
-      links_.give_back(settings_.servers[server].address, std::move(*link));
-  }
-
-  CallEnd relay(Way& w, const tools::SendCall& s, const std::string& upstream, http::ClientConnection& link,
-                std::string& answer) {
-    const std::string id = "\"" + std::to_string(w.id) + "." + std::to_string(s.send) + "\"";
-    // Its own token: the client's may be used at this server by another client as well.
-    const std::string params = w.token.empty()
-                                   ? w.request.params
-                                   : rpc::with_member(w.request.params, {"_meta", "progressToken"}, id);
-    const auto before = link.stream().bytes_written();
-    const Instant until = s.until;
-    if (!link.ask("POST", settings_.servers[s.server].path,
-                  headers_for(upstream, rpc::revisions().front().c_str()),
-                  rpc::text_of(rpc::Request{id, "tools/call", params}), until))
-      return link.stream().bytes_written() > before ? CallEnd::Broken : CallEnd::NotReached;
-    http::Response head;
-    http::EventReader events(answer_bytes);
-    bool have_head = false, body_over = false, is_stream = false;
-    std::string whole;
-    link.stream().watch(-1, w.post->wake.fd());
-    for (;;) {
-      BodyEnd end;
-      std::string bytes;
-      if (!have_head) end = link.read_head(head, until);
-      else end = link.read_body(bytes, until);
-      if (end == BodyEnd::Aborted) {
-        if (stop_wanted(w)) return cancel_upstream(s.server, upstream, id), CallEnd::Cancelled;
-        continue;
-      }
-      if (end == BodyEnd::TimedOut) return cancel_upstream(s.server, upstream, id), CallEnd::Broken;
-      if (end == BodyEnd::Broken) return CallEnd::Broken;
-      if (!have_head) {
-        have_head = true;
-        heard(w.id, s.send);
-        if (head.status == 404)
-          forget_upstream(*w.client, s.server);  // its session has gone; the call did not begin
-        if (head.status == 404 || head.status == 429 || head.status == 503) return CallEnd::TurnedAway;
-        if (head.status != 200) return CallEnd::Garbage;
-        is_stream =
-            http::header(head.headers, "content-type").find("text/event-stream") != std::string_view::npos;
-        continue;
-      }
-      body_over = end == BodyEnd::Done;
-      if (!is_stream) {
-        whole += bytes;
-        if (whole.size() > answer_bytes) return CallEnd::Garbage;
-        if (body_over)
-          return passed(w, s, upstream, id, whole, answer) ? CallEnd::Answered : CallEnd::Garbage;
-        continue;
-      }
-      std::vector<http::ServerEvent> got;
-      if (!events.feed(bytes, got)) return CallEnd::Garbage;
-      for (const auto& e : got) {
-        if (e.data.empty()) continue;
-        heard(w.id, s.send);
-        if (passed(w, s, upstream, id, e.data, answer)) {
-          // What comes after the answer is nobody's. The body's end is waited for a moment, so that the link
-          // serves again.
-          std::string drop;
-          if (!body_over)
-            link.read_whole(drop, std::min(until, clock_now() + Span::millis(50)), answer_bytes);
-          return CallEnd::Answered;
-        }
-      }
-      if (body_over) return CallEnd::Broken;
-    }
-  }
-
-  bool stop_wanted(Way& w) {
-    const std::lock_guard lock(w.post->mutex);
-    const bool stop = w.post->stop || w.post->cancelled || w.post->fail || core_.aborting();
-    if (!stop) w.post->wake.clear();
-    return stop;
-  }
-  void heard(CallId id, std::uint32_t send) {
-    const std::lock_guard lock(desk_mutex_);
-    dispatch(desk_.heard(clock_now(), id, send));
-  }
-  void forget_upstream(Client& client, std::size_t server) {
-    const std::lock_guard lock(client.mutex);
-    client.upstream.erase(server);
-  }
-  void cancel_upstream(std::size_t server, const std::string& upstream, const std::string& id) {
-    tell(server, upstream,
-         rpc::text_of(rpc::Notification{"notifications/cancelled",
-                                        "{\"requestId\":" + id + ",\"reason\":\"no longer wanted\"}"}));
-  }
-
-  // One message of a server in answer to a call. True: it is the call's response, made over for the client.
-  bool passed(Way& w, const tools::SendCall& s, const std::string& upstream, const std::string& id,
-              const std::string& text, std::string& answer) {
-    const auto message = rpc::parse(text);
-    if (const auto* a = std::get_if<rpc::Response>(&message)) {
-      if (a->id != id) return false;
-      answer = rpc::text_of(rpc::Response{w.request.id, a->result, a->error});
-      return true;
-    }
-    if (const auto* n = std::get_if<rpc::Notification>(&message)) {
-      if (n->method == "notifications/progress" && !w.token.empty()) {
-        // Under the client's own token again.
-        const bool ours = rpc::member_json(n->params, {"progressToken"}) == id;
-        const std::string params = ours ? rpc::with_member(n->params, {"progressToken"}, w.token) : n->params;
-        say(w, rpc::text_of(rpc::Notification{n->method, params}), false);
-      } else if (n->method == "notifications/message") {
-        say(w, text, false);
-      }
-      return false;
-    }
-    const auto* q = std::get_if<rpc::Request>(&message);
-    if (!q) return false;
-    // The server asks back. Only what the client offered reaches it; the rest is answered here.
-    std::string mine;
-    {
-      const std::lock_guard lock(w.client->mutex);
-      if (w.streams && q->method != "ping" && w.client->session.may_be_asked(q->method) &&
-          w.client->asked_back.size() < calls_a_session) {
-        mine = "\"back-" + std::to_string(w.client->next_back++) + "\"";
-        w.client->asked_back[mine] = {s.server, upstream, q->id};
-      }
-    }
-    if (!mine.empty()) say(w, rpc::text_of(rpc::Request{mine, q->method, q->params}), false);
-    else
-      tell(s.server, upstream,
-           q->method == "ping"
-               ? rpc::text_of(rpc::Response{q->id, "{}", {}})
-               : rpc::error_text(q->id, rpc::unknown_method, "the client does not offer " + q->method));
-    return false;
-  }
-
-  // ---- the desk
-  // ----------------------------------------------------------------------------------------------- Under
-  // desk_mutex_.
-  void dispatch(const std::vector<tools::DeskAction>& actions) {
-    for (const auto& a : actions) {
-      const auto post_of = [&](CallId id) {
-        const auto it = posts_.find(id);
-        return it == posts_.end() ? nullptr : it->second.get();
-      };
-      if (const auto* s = std::get_if<tools::SendCall>(&a)) {
-        if (Post* p = post_of(s->call)) {
-          const std::lock_guard lock(p->mutex);
-          p->send = *s, p->wake.raise();
-        }
-      } else if (const auto* x = std::get_if<tools::StopCall>(&a)) {
-        if (Post* p = post_of(x->call)) {
-          const std::lock_guard lock(p->mutex);
-          p->stop = true, p->wake.raise();
-        }
-      } else if (const auto* f = std::get_if<tools::FailCall>(&a)) {
-        if (Post* p = post_of(f->call)) {
-          const std::lock_guard lock(p->mutex);
-          p->fail = *f, p->wake.raise();
-        }
-      } else if (const auto* t = std::get_if<tools::SayOnce>(&a)) {
-        core_.log().line(Level::Info, "mode", {{"what", t->text}});
-      }
-    }
-  }
-
-  bool pause(Span span) {
-    std::unique_lock lock(desk_mutex_);
-    return !stopped_.wait_for(lock,
-                              std::chrono::microseconds(static_cast<std::int64_t>(span.as_millis() * 1000)),
-                              [&] { return stopping_; });
-  }
-  void ticking() {
-    while (pause(tick)) {
-      const std::lock_guard lock(desk_mutex_);
-      dispatch(desk_.tick(clock_now()));
-    }
-  }
-
-  // Asks every server for its tools, page by page.
-  void list() {
-    do {
-      for (std::size_t k = 0; k < settings_.servers.size(); ++k) {
-        auto found = ask_tools(k);
-        const std::lock_guard lock(desk_mutex_);
-        if (found) definitions_[k] = found->second;
-        dispatch(desk_.offered(clock_now(), k, found ? std::optional(found->first) : std::nullopt));
-      }
-    } while (pause(settings_.list_every));
-  }
-
-  using Found = std::pair<std::vector<tools::Offer>, std::map<std::string, std::string>>;
-  std::optional<Found> ask_tools(std::size_t server) {
-    const Instant until = clock_now() + list_time;
-    auto link = connect(server, until);
-    if (!link) return std::nullopt;
-    if (!listing_.contains(server)) {
-      const auto id = open_upstream(server, *link, "{}", "{}", until);
-      if (!id) return std::nullopt;
-      listing_[server] = *id;
-    }
-    Found out;
-    std::string cursor;
-    for (int page = 0; page < 100; ++page) {
-      http::Response head;
-      std::string body;
-      const rpc::Request ask{std::to_string(++list_id_), "tools/list",
-                             cursor.empty() ? "{}" : "{\"cursor\":" + cursor + "}"};
-      if (!link->ask("POST", settings_.servers[server].path,
-                     headers_for(listing_[server], rpc::revisions().front().c_str()), rpc::text_of(ask),
-                     until) ||
-          link->read_head(head, until) != BodyEnd::Done ||
-          link->read_whole(body, until, answer_bytes) != BodyEnd::Done || head.status != 200) {
-        listing_.erase(server);  // a session that has gone is opened anew the next time
-        return std::nullopt;
-      }
-      std::vector<http::ServerEvent> events;
-      http::EventReader reader(answer_bytes);
-      if (http::header(head.headers, "content-type").find("text/event-stream") != std::string_view::npos &&
-          reader.feed(body, events) && !events.empty())
-        body = events.back().data;
-      const auto message = rpc::parse(body);
-      const auto* r = std::get_if<rpc::Response>(&message);
-      if (!r || r->result.empty()) return std::nullopt;
-      for (const auto& tool : rpc::tools_of(r->result)) {
-        out.first.push_back(
-            {tool.name, std::hash<std::string>{}(tool.schema), tool.idempotent, tool.read_only});
-        out.second[tool.name] = tool.definition;
-      }
-      cursor = rpc::member_json(r->result, {"nextCursor"}).value_or("");
-      if (cursor.empty()) break;
-    }
-    links_.give_back(settings_.servers[server].address, std::move(*link));
-    return out;
-  }
-
-  std::string catalogue() {
-    const std::lock_guard lock(desk_mutex_);
-    std::string out = "{\"tools\":[";
-    bool first = true;
-    for (const auto& [name, server] : desk_.catalogue()) {
-      if (!std::exchange(first, false)) out += ',';
-      out += definitions_[server][name];
-    }
-    return out + "]}";
-  }
-
   Core& core_;
+  const std::shared_ptr<ToolCalls> calls_;
   const settings::Tools& settings_;
-  mutable std::mutex desk_mutex_;
-  std::condition_variable stopped_;
-  bool stopping_ = false;
-  tools::ToolDesk desk_;
-  std::map<CallId, std::shared_ptr<Post>> posts_;
-  std::map<std::size_t, std::map<std::string, std::string>> definitions_;
-  Links links_;
-  std::map<std::size_t, std::string> listing_;  // the lister's own sessions; its thread's alone
-  std::uint64_t list_id_ = 0, salt_ = 0;
-  std::atomic<CallId> next_call_ = 1;
+  std::uint64_t salt_ = 0;
   std::mutex clients_mutex_;
   std::map<std::string, ClientRef> clients_;
-  std::thread lister_, ticker_;
 };
 
 }  // namespace
 
-std::unique_ptr<Protocol> tools_front(Core& core) { return std::make_unique<Tools>(core); }
+std::unique_ptr<Protocol> tools_front(Core& core, std::shared_ptr<ToolCalls> calls) {
+  return std::make_unique<Tools>(core, std::move(calls));
+}
 
 }  // namespace calicograde::front
--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -45,9 +45,18 @@
   if (reports.size() > reports_kept) reports.pop_front();
 }
 
+std::size_t bytes_of(const ToolOffer& t) {
+  return t.name.size() + t.description.size() + t.schema.size() + turn_bytes;
+}
+
 std::size_t bytes_of(const Prompt& p) {
   std::size_t n = p.system.empty() ? 0 : p.system.size() + turn_bytes;
-  for (const auto& t : p.turns) n += t.text.size() + turn_bytes;
+  for (const auto& t : p.tools) n += bytes_of(t);
+  for (const auto& t : p.turns) {
+    n += t.text.size() + turn_bytes;
+    for (const auto& u : t.uses) n += u.name.size() + u.input.size() + turn_bytes;
+    for (const auto& r : t.results) n += r.text.size() + turn_bytes;
+  }
   return n;
 }
 
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -26,6 +26,7 @@
 
 // Bytes of a prompt as engines get it, and of its shared opening.
 std::size_t bytes_of(const Prompt& prompt);
+std::size_t bytes_of(const ToolOffer& tool);
 
 // A session is named by its user and how it opened: its later turns repeat that opening. 0 is never returned.
 TextKey session_key(std::string_view user_id, const Prompt& prompt);
--- a/src/lab/audit.cpp
+++ b/src/lab/audit.cpp
@@ -19,6 +19,7 @@
   Instant at, end;
   bool ended = false;
   std::string engine, name, mark, leg, how;
+  int round = 0;  // of a message whose tools the front calls: each is an inference of its own
   std::string front() const { return name.substr(0, name.find('.')); }
   std::string inference() const { return name.substr(0, name.rfind('.')); }
   bool writes() const { return leg == "write" || leg == "whole"; }
@@ -49,7 +50,7 @@
   }
 
   Verdict judge() {
-    for (auto& [mark, a] : asked_) answers(a), effects(a);
+    for (auto& [mark, a] : asked_) answers(a), tools(a), effects(a);
     keys();
     for (const auto& s : sends_) drains(s);
     for (const auto& r : records_)
@@ -73,8 +74,15 @@
       if (r.what == "after") ++asked_[r.mark].after;
       if (r.what == "left") asked_[r.mark].left = true;
       if (r.what == "send")
-        by_name[r.name] = sends_.size(),
-        sends_.push_back({r.at, end, false, r.where, r.name, r.mark, r.how, {}});
+        by_name[r.name] = sends_.size(), sends_.push_back({r.at,
+                                                           end,
+                                                           false,
+                                                           r.where,
+                                                           r.name,
+                                                           r.mark.substr(0, r.mark.find('#')),
+                                                           r.how,
+                                                           {},
+                                                           round_of(r.mark)});
       if (r.what == "send_end")
         if (const auto it = by_name.find(r.name); it != by_name.end() && !sends_[it->second].ended)
           sends_[it->second].end = r.at, sends_[it->second].ended = true, sends_[it->second].how = r.how;
@@ -92,6 +100,7 @@
       if (r.what == "front_down") front_down_[r.where].push_back(r.at);
       if (r.what == "told") told_[{r.where, r.name}].push_back(&r);
       if (r.what == "effect") effects_[r.mark].push_back(r.at);
+      if (r.what == "tool_run") tool_runs_[r.mark].push_back(&r);
       if (r.what == "effect" && !r.how.empty()) key_effects_[r.how].push_back(&r);
     }
     for (const auto& s : sends_) of_mark_[s.mark].push_back(&s), of_inference_[s.inference()].push_back(&s);
@@ -129,22 +138,51 @@
         breach(1, s->at, a.mark, "sent to " + s->engine + " after the final answer");
   }
 
+  static int round_of(const std::string& mark) {
+    int n = 0;
+    if (const auto at = mark.find('#'); at != std::string::npos)
+      std::from_chars(mark.data() + at + 1, mark.data() + mark.size(), n);
+    return n;
+  }
+
+  // A tool that is non-retriable runs once for each call that the model or the client asked for, and nobody
+  // is invited to ask again after it ran.
+  void tools(const Asked& a) {
+    const auto it = tool_runs_.find(a.mark);
+    if (it == tool_runs_.end()) return;
+    std::map<std::pair<std::string, std::string>, int> runs;
+    for (const Record* r : it->second) {
+      const auto tool = std::find_if(plan_.tools.begin(), plan_.tools.end(),
+                                     [&](const PlannedTool& t) { return t.name == r->name; });
+      if (tool == plan_.tools.end() || tool->effect != Effect::NonRetriable) continue;
+      ++v_.checks[2];
+      if (++runs[{r->name, r->how}] > 1)
+        breach(2, r->at, a.mark, "call " + r->how + " of " + r->name + " ran twice, last at " + r->where);
+      if (a.final == "shed") breach(2, a.final_at, a.mark, "shed though " + r->name + " ran at " + r->where);
+    }
+  }
+
   void effects(const Asked& a) {
+    int rounds = 0;
+    for (const Sent* s : of_mark_[a.mark]) rounds = std::max(rounds, s->round);
+    for (int k = 0; k <= rounds; ++k) effects(a, k);
+  }
+  void effects(const Asked& a, int round) {
     const auto it = routes_.find(a.route);
     if (it == routes_.end() || it->second->effect == Effect::Retriable) return;
     const PlannedRoute& r = *it->second;
     ++v_.checks[2];
     std::vector<const Sent*> ran;  // may have
     for (const Sent* s : of_mark_[a.mark])
-      if (s->writes() && !s->refused()) ran.push_back(s);
+      if (s->round == round && s->writes() && !s->refused()) ran.push_back(s);
     const bool binds = r.effect == Effect::NonRetriable || r.group != DedupeGroup::All;
     if (binds && !ran.empty() && a.final == "shed")
       breach(2, a.final_at, a.mark, "shed though it may have run at " + ran.front()->engine);
     if (r.effect == Effect::NonRetriable && ran.size() > 1)
       breach(2, ran[1]->at, a.mark,
              "sent to " + ran[1]->engine + " though it may have run at " + ran[0]->engine);
-    if (r.effect == Effect::NonRetriable && effects_[a.mark].size() > 1)
-      breach(2, effects_[a.mark][1], a.mark, "a second effect");
+    const auto& seen = effects_[round == 0 ? a.mark : a.mark + "#" + std::to_string(round)];
+    if (r.effect == Effect::NonRetriable && seen.size() > 1) breach(2, seen[1], a.mark, "a second effect");
     if (r.effect != Effect::Deduped || ran.empty()) return;
     for (const Sent* s : ran) {
       if (s->at - ran[0]->at > r.window + slack) breach(2, s->at, a.mark, "sent after the window");
@@ -285,7 +323,7 @@
   std::map<std::string, std::vector<const Sent*>> of_mark_, of_inference_;
   std::map<std::string, std::vector<std::pair<Instant, Instant>>> troubled_;
   std::map<std::string, std::vector<Instant>> front_down_, effects_;
-  std::map<std::string, std::vector<const Record*>> key_effects_;
+  std::map<std::string, std::vector<const Record*>> key_effects_, tool_runs_;
   std::map<std::pair<std::string, std::string>, std::vector<const Record*>> told_;
   Verdict v_;
 };
--- a/src/lab/client.cpp
+++ b/src/lab/client.cpp
@@ -66,10 +66,14 @@
     events.feed(bytes, got);
     for (const auto& e : got) {
       if (ended) say("after", e.event);
-      if (e.event == "content_block_delta") {
-        if (std::exchange(first, false)) say("first", "", (clock_now() - asked).as_millis());
-        out.text += Json::parse(e.data)["delta"]["text"].get<std::string>();
+      if (e.event == "content_block_start" && std::exchange(first, false))
+        say("first", "", (clock_now() - asked).as_millis());
+      if (e.event == "content_block_delta") out.text += Json::parse(e.data)["delta"].value("text", "");
+      if (e.event == "content_block_start") {
+        const Json b = Json::parse(e.data)["content_block"];
+        if (b["type"] == "mcp_tool_result") ++out.results;
       }
+      if (e.event == "message_delta") out.reason = Json::parse(e.data)["delta"].value("stop_reason", "");
       if ((e.event == "message_stop" || e.event == "error") && !std::exchange(ended, true))
         out.how = final(e.event == "error" ? "errored" : "completed");
     }
@@ -82,4 +86,62 @@
   }
 }
 
+ClientEnd call_tool(const ClientCall& c, Recorder& records) {
+  const Instant asked = clock_now(), until = asked + c.budget + Span::millis(4000);
+  const auto say = [&](const char* what, const std::string& how, double n = 0) {
+    records.add({clock_now(), what, c.route, c.front_name, c.mark, how, n});
+  };
+  ClientEnd out;
+  out.how = "unreachable";
+  auto [how, stream] = net::Stream::connect(c.front, clock_now() + Span::millis(1000));
+  if (how != net::ConnectEnd::Connected) return out;
+  http::ClientConnection link(std::move(stream));
+  http::Headers headers{{"host", "front"},
+                        {"content-type", "application/json"},
+                        {"accept", "application/json, text/event-stream"}};
+  http::Response head;
+  std::string body;
+  const Json hello{{"jsonrpc", "2.0"},
+                   {"id", 0},
+                   {"method", "initialize"},
+                   {"params",
+                    {{"protocolVersion", "2025-06-18"},
+                     {"capabilities", Json::object()},
+                     {"clientInfo", {{"name", "lab"}, {"version", "1"}}}}}};
+  if (!link.ask("POST", "/mcp", headers, hello.dump(), until) ||
+      link.read_head(head, until) != http::BodyEnd::Done ||
+      link.read_whole(body, until, 1 << 20) != http::BodyEnd::Done || head.status != 200)
+    return out;
+  headers.emplace_back("mcp-session-id", http::header(head.headers, "mcp-session-id"));
+  const Json ask{{"jsonrpc", "2.0"},
+                 {"id", 1},
+                 {"method", "tools/call"},
+                 {"params", {{"name", c.route}, {"arguments", {{"mark", c.mark}, {"call", "0"}}}}}};
+  say("asked", "", c.budget.as_millis());
+  const auto final = [&](const std::string& word) {
+    if (out.how != "unreachable") return say("after", word);
+    out.how = word;
+    say("final", word, (clock_now() - asked).as_millis());
+  };
+  if (!link.ask("POST", "/mcp", headers, ask.dump(), until)) return final("cut"), out;
+  const Instant leave = c.leave_after > Span{} ? asked + c.leave_after : until;
+  const auto end = link.read_head(head, leave);
+  if (end == http::BodyEnd::TimedOut && leave < until) return say("left", ""), out.how = "left", out;
+  body.clear();
+  if (end != http::BodyEnd::Done || link.read_whole(body, until, 1 << 20) != http::BodyEnd::Done)
+    return final("cut"), out;
+  http::EventReader reader;
+  std::vector<http::ServerEvent> events;
+  if (http::header(head.headers, "content-type") == "text/event-stream") reader.feed(body, events);
+  else events.push_back({"", body, ""});
+  for (const auto& e : events) {
+    const Json j = Json::parse(e.data, nullptr, false);
+    if (!j.is_object() || j.value("id", Json()) != 1) continue;
+    if (j.contains("result")) final("completed");
+    else final(j["error"].value("code", 0) == -32001 ? "shed" : "errored");
+  }
+  if (out.how == "unreachable") final("cut");
+  return out;
+}
+
 }  // namespace calicograde::lab
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -40,6 +40,14 @@
     records_.add({clock_now(), "engine", e.address(), o.zone, {}, o.rack, 0});
     list(e, Lifecycle::Ready, false);
   }
+  std::vector<std::string> offers;
+  for (const auto& t : plan_.tools)
+    offers.push_back("{\"name\":\"" + t.name + "\",\"inputSchema\":{\"type\":\"object\"}}");
+  for (int k = 0; k < plan_.tool_servers; ++k) {
+    tool_servers_.push_back(
+        std::make_unique<ToolStandin>("tools-" + std::to_string(k), offers, k % 2 == 0, &records_));
+    tool_servers_.back()->set([this](ToolFaults& f) { f.takes = plan_.tool_takes; });
+  }
   for (int k = 0; k < plan_.fronts; ++k) fronts_.push_back(start_front(k));
 }
 
@@ -60,7 +68,10 @@
 
 Town::Front Town::start_front(int number) {
   const std::string name = "front-" + std::to_string(number), file = folder_ + "/" + name + ".xml";
-  std::ofstream(file) << front_settings(plan_, number, roster_->address(), folder_ + "/" + name + ".log");
+  std::vector<std::string> tools;
+  for (const auto& t : tool_servers_) tools.push_back(net::text_of(t->address()));
+  std::ofstream(file) << front_settings(plan_, number, roster_->address(), folder_ + "/" + name + ".log",
+                                        tools);
   int out[2];
   if (::pipe2(out, O_CLOEXEC) != 0) throw std::runtime_error("no pipe for " + name);
   const int pid = ::fork();
@@ -151,6 +162,7 @@
     return;
   }
   if (t.kind == "roster_gap") return roster_->lose_one();
+  if (t.kind.starts_with("tool_")) return tool_trouble(t, chance);
   for (EngineStandin* e : choose(t, chance)) {
     records_.add({clock_now(), "trouble", e->address(), {}, {}, t.kind, t.length.as_millis()});
     if (t.kind == "crash" || t.kind == "mass_restart") {
@@ -205,12 +217,29 @@
   }
 }
 
+void Town::tool_trouble(const Trouble& t, std::mt19937& chance) {
+  std::vector<ToolStandin*> all;
+  for (const auto& s : tool_servers_) all.push_back(s.get());
+  std::shuffle(all.begin(), all.end(), chance);
+  all.resize(std::min(all.size(), static_cast<std::size_t>(t.count)));
+  for (ToolStandin* s : all) {
+    s->set([&](ToolFaults& f) {
+      if (t.kind == "tool_dies") f.die = ToolFaults::Die::BeforeHead;
+      if (t.kind == "tool_cut") f.die = ToolFaults::Die::MidStream;
+      f.silent = t.kind == "tool_silent", f.garbage = t.kind == "tool_garbage",
+      f.turns_away = t.kind == "tool_away";
+    });
+    later(t.length, [this, s] { s->set([this](ToolFaults& f) { f = {}, f.takes = plan_.tool_takes; }); });
+  }
+}
+
 namespace {
 
 struct Arrival {
   Span at;
   const Load* load = nullptr;
   const PlannedRoute* route = nullptr;
+  const ToolLoad* tool = nullptr;
   std::uint32_t number = 0, chance = 0;
 };
 
@@ -227,6 +256,13 @@
   ClientCall c;
   std::mt19937 chance(a.chance);
   const auto share = [&] { return std::uniform_real_distribution<double>()(chance); };
+  if (a.tool) {
+    c.mark = "t" + std::to_string(a.number), c.route = a.tool->tool, c.budget = Span::millis(4500);
+    if (share() < a.tool->leave) c.leave_after = Span::from_millis(200 * share());
+    std::tie(c.front, c.front_name) = front(a.number);
+    if (call_tool(c, records).how == "unreachable") ++unreachable;
+    return;
+  }
   c.route = a.route->name;
   const auto shared = a.load->shared > 0
                           ? static_cast<std::uint32_t>(chance()) % static_cast<std::uint32_t>(a.load->shared)
@@ -234,6 +270,10 @@
   if (a.load->shared > 0) c.system = filler(shared + 1, a.load->shared_bytes);
   c.text =
       filler(a.chance, a.load->bytes / 2 + static_cast<int>(chance() % static_cast<unsigned>(a.load->bytes)));
+  for (std::size_t at = 0; at < a.load->calls.size();) {
+    const auto end = std::min(a.load->calls.find(' ', at), a.load->calls.size());
+    c.text += " [call " + a.load->calls.substr(at, end - at) + "]", at = end + 1;
+  }
   c.user = "u" + std::to_string(a.number % 17);
   c.max_tokens = a.load->max_tokens, c.stream = a.load->stream;
   const Span budget = a.load->budget > Span{} ? a.load->budget : a.route->timeout;
@@ -272,7 +312,14 @@
     for (double t = gap(chance); t < std::min(l.length.seconds(), plan.length.seconds() - l.from.seconds());
          t += gap(chance))
       arrivals.push_back(
-          {l.from + Span::from_seconds(t), &l, &*route, 0, static_cast<std::uint32_t>(chance())});
+          {l.from + Span::from_seconds(t), &l, &*route, nullptr, 0, static_cast<std::uint32_t>(chance())});
+  }
+  for (const auto& l : plan.tool_loads) {
+    std::exponential_distribution<double> gap(l.rate);
+    for (double t = gap(chance); t < std::min(l.length.seconds(), plan.length.seconds() - l.from.seconds());
+         t += gap(chance))
+      arrivals.push_back(
+          {l.from + Span::from_seconds(t), nullptr, nullptr, &l, 0, static_cast<std::uint32_t>(chance())});
   }
   std::stable_sort(arrivals.begin(), arrivals.end(),
                    [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
--- a/src/lab/day.hpp
+++ b/src/lab/day.hpp
@@ -7,6 +7,7 @@
 #include "lab/audit.hpp"
 #include "lab/plan.hpp"
 #include "lab/roster_standin.hpp"
+#include "lab/tool_standin.hpp"
 
 namespace calicograde::lab {
 
@@ -38,6 +39,7 @@
   Front start_front(int number);
   void list(EngineStandin& e, Lifecycle state, bool cold);
   std::vector<EngineStandin*> choose(const Trouble& t, std::mt19937& chance);
+  void tool_trouble(const Trouble& t, std::mt19937& chance);
   void later(Span in, std::function<void()> what);
 
   const Plan plan_;
@@ -45,6 +47,7 @@
   Recorder records_;
   std::map<std::string, std::shared_ptr<DedupeMemory>> dedupe_;
   std::vector<std::unique_ptr<EngineStandin>> engines_;
+  std::vector<std::unique_ptr<ToolStandin>> tool_servers_;
   std::unique_ptr<RosterStandin> roster_;
   std::vector<Front> fronts_;
   std::vector<Later> later_;
--- a/src/lab/engine_standin.cpp
+++ b/src/lab/engine_standin.cpp
@@ -26,10 +26,42 @@
 struct EngineStandin::Asked {
   std::string name, mark, model, text, key, place, state_at, state_name;
   double tokens = 0;
-  int answer_tokens = 1;
+  int answer_tokens = 1, round = 0;
   bool read = false;
+  std::vector<std::string> calls;  // of tools, that the answer ends with
 };
 
+namespace {
+
+// The user's last words may hold "[call a|b] [call c]": the rounds in which the stand-in asks for these
+// tools,
+// "|" between those of one round. "[call a*]" as the last one goes on without end.
+std::vector<std::string> calls_of(const Json& messages, int& round) {
+  std::string words;
+  round = 0;
+  for (const auto& m : messages) {
+    if (!m.is_object()) continue;
+    if (m.value("role", "") == "user" && m["content"].is_string())
+      words = m["content"].get<std::string>(), round = 0;
+    if (m.contains("tool_calls")) ++round;
+  }
+  std::vector<std::string> rounds;
+  for (auto at = words.find("[call "); at != std::string::npos; at = words.find("[call ", at + 1))
+    rounds.push_back(words.substr(at + 6, words.find(']', at) - at - 6));
+  if (rounds.empty()) return {};
+  const bool endless = rounds.back().ends_with('*');
+  if (endless) rounds.back().pop_back();
+  if (static_cast<std::size_t>(round) >= rounds.size() && !endless) return {};
+  std::string now = rounds[std::min(rounds.size() - 1, static_cast<std::size_t>(round))] + "|", name;
+  std::vector<std::string> out;
+  for (const char c : now)
+    if (c != '|') name += c;
+    else out.push_back(std::exchange(name, {}));
+  return out;
+}
+
+}  // namespace
+
 EngineStandin::EngineStandin(EngineOptions options, Recorder& records, std::shared_ptr<DedupeMemory> dedupe)
     : options_(std::move(options)),
       records_(records),
@@ -67,8 +99,8 @@
 }
 
 void EngineStandin::note(const std::string& what, const std::string& name, const std::string& mark,
-                         const std::string& how, double number) {
-  records_.add({clock_now(), what, address_, name, mark, how, number});
+                         const std::string& how, double number, std::optional<Instant> at) {
+  records_.add({at.value_or(clock_now()), what, address_, name, mark, how, number});
 }
 
 void EngineStandin::crash() {
@@ -115,14 +147,18 @@
   http::Limits limits;
   limits.idle = Span::millis(100), limits.body_bytes = 64 << 20;
   http::ServerConnection c(std::move(stream), limits);
-  if (const Span h = faults().handshake; h > Span{}) wait(c, clock_now() + h, life);
+  // A send that waits in a slow handshake is out already: it counts from the connection (found by rule 5 on
+  // seven days at once, where the state seemed to lie idle for that long).
+  std::optional<Instant> connected;
+  if (const Span h = faults().handshake; h > Span{}) connected = clock_now(), wait(c, clock_now() + h, life);
   for (Instant last = clock_now(); life_ == life && clock_now() - last < Span::millis(60000);) {
     http::Request request;
     const auto end = c.read(request);
     if (end == http::ReadEnd::Closed && c.stream().peer_left()) break;
     if (end == http::ReadEnd::Closed) continue;  // idle for a moment: looks whether the engine still lives
     // A crashed engine answers nobody, not even with an error.
-    if (end != http::ReadEnd::Ok || life_ != life || !answer(request, c, life)) break;
+    const Instant came = std::exchange(connected, {}).value_or(clock_now());
+    if (end != http::ReadEnd::Ok || life_ != life || !answer(request, c, life, came)) break;
     last = clock_now();
   }
   if (life_ != life) c.stream().reset_hard();
@@ -229,11 +265,11 @@
   return text.empty() ? 0 : tokens * static_cast<double>(found) / static_cast<double>(text.size());
 }
 
-bool EngineStandin::answer(const http::Request& request, http::ServerConnection& c, int life) {
+bool EngineStandin::answer(const http::Request& request, http::ServerConnection& c, int life, Instant came) {
   const Json j = Json::parse(request.body, nullptr, false);
   const std::string name(http::header(request.headers, "x-request-id"));
   if (const Faults f = faults(); f.vanished || f.hung) {
-    if (request.target == "/v1/chat/completions") note("send", name, "", "unanswered");
+    if (request.target == "/v1/chat/completions") note("send", name, "", "unanswered", 0, came);
     const bool back = wait(c, clock_now() + Span::millis(1), life);
     if (request.target == "/v1/chat/completions") note("send_end", name, "", "unanswered");
     if (f.vanished || !back) return false;  // a machine that comes back knows nothing of it
@@ -253,10 +289,16 @@
   if (request.target != "/v1/chat/completions" || !j.is_object() || !j.contains("messages") ||
       !j["messages"].is_array())
     return refuse(a, c, 400, "invalid_request");
-  for (const auto& m : j["messages"]) a.text += m.value("role", "") + ":" + m.value("content", "") + "\n";
+  for (const auto& m : j["messages"])
+    if (m.contains("content") && m["content"].is_string())
+      a.text += m.value("role", "") + ":" + m["content"].get<std::string>() + "\n";
   a.tokens = static_cast<double>(a.text.size()) / 4;
   if (const auto at = a.text.rfind("[mark "); at != std::string::npos)
     a.mark = a.text.substr(at + 6, a.text.find(']', at) - at - 6);
+  a.calls = calls_of(j["messages"], a.round);
+  if (!j.contains("tools")) a.calls.clear();
+  // Each round of a message is an inference of its own.
+  if (a.round > 0 && !a.mark.empty()) a.mark += "#" + std::to_string(a.round);
   a.model = j.value("model", ""), a.answer_tokens = j.value("max_tokens", 1),
   a.key = http::header(request.headers, "idempotency-key");
   a.place = j.value("calicograde_place", "");
@@ -266,7 +308,7 @@
     a.state_name = params.value("remote_request_id", "");
     a.state_at = params.value("remote_host", "") + ":" + std::to_string(params.value("remote_port", 0));
   }
-  note("send", name, a.mark, a.read ? "read" : a.state_name.empty() ? "whole" : "write", a.tokens);
+  note("send", name, a.mark, a.read ? "read" : a.state_name.empty() ? "whole" : "write", a.tokens, came);
   if (pushed_over()) {
     note("fell", name, "", "pushed over");
     std::thread([this] { crash(); }).detach();
@@ -401,7 +443,21 @@
     Json chunk{{"id", a.name}, {"object", "chat.completion.chunk"}};
     Json choice{{"index", 0}, {"delta", Json::object()}, {"finish_reason", nullptr}};
     if (k < n) choice["delta"]["content"] = "w" + std::to_string(k) + " ";
-    else choice["finish_reason"] = n == a.answer_tokens ? "length" : "stop";
+    else choice["finish_reason"] = !a.calls.empty() ? "tool_calls" : n == a.answer_tokens ? "length" : "stop";
+    // Each call in two parts, before the answer's end.
+    for (std::size_t t = 0; k == n && t < a.calls.size(); ++t) {
+      const Json input{{"mark", a.mark.substr(0, a.mark.find('#'))},
+                       {"call", std::to_string(a.round) + "." + std::to_string(t)}};
+      const std::string text = input.dump();
+      for (const std::size_t from : {std::size_t{0}, text.size() / 2}) {
+        Json part{{"index", t}, {"function", {{"arguments", text.substr(from, text.size() / 2 + from)}}}};
+        if (from == 0) part["id"] = a.name + "-" + std::to_string(t), part["function"]["name"] = a.calls[t];
+        Json said = chunk;
+        said["choices"] = Json::array(
+            {{{"index", 0}, {"delta", {{"tool_calls", Json::array({part})}}}, {"finish_reason", nullptr}}});
+        if (!c.piece(http::event_text("", said.dump()))) return out("left"), false;
+      }
+    }
     chunk["choices"] = Json::array({choice});
     if (!c.piece(http::event_text("", chunk.dump()))) return out("left"), false;
   }
--- a/src/lab/engine_standin.hpp
+++ b/src/lab/engine_standin.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -73,7 +74,7 @@
   struct Asked;
   void accept(std::shared_ptr<net::Listener> listener, int life);
   void serve(net::Stream stream, int life);
-  bool answer(const http::Request& request, http::ServerConnection& c, int life);
+  bool answer(const http::Request& request, http::ServerConnection& c, int life, Instant came);
   bool read(const Asked& a, http::ServerConnection& c, int life);
   bool write(const Asked& a, http::ServerConnection& c, int life);
   bool respond(http::ServerConnection& c, int status, const std::string& body);
@@ -87,7 +88,7 @@
   bool pushed_over();
   double find_kept(const std::string& text, double tokens);
   void note(const std::string& what, const std::string& name, const std::string& mark, const std::string& how,
-            double number = 0);
+            double number = 0, std::optional<Instant> at = {});
   Faults faults();
   std::string load();
 
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -84,9 +84,24 @@
                        r->time("first-token-target", {}),
                        r->time("route-timeout", {}),
                        r->time("dedupe-window", {}),
-                       r->number("value", 1)};
+                       r->number("value", 1),
+                       r->text("relay"),
+                       static_cast<int>(r->number("rounds", 8))};
     p.routes.push_back(route);
   }
+  if (const auto* t = root->child("tools")) {
+    p.tool_servers = static_cast<int>(t->number("servers", 1)), p.tool_takes = t->time("takes", {});
+    for (const auto* x : t->all("tool"))
+      p.tools.push_back({x->text("name"), pick(effects, x->text("effect"), Effect::NonRetriable),
+                         x->time("time-out", Span::millis(3000))});
+  }
+  for (const auto* l : root->all("tool-load")) {
+    p.tool_loads.push_back({l->text("tool"), l->number("rate", 1), l->number("leave", 0), l->time("from", {}),
+                            l->time("for", p.length)});
+    bool known = false;
+    for (const auto& t : p.tools) known |= t.name == l->text("tool");
+    if (!known) fault(*l, "unknown tool '" + l->text("tool") + "'", "name one under <tools>");
+  }
   for (const auto* l : root->all("load")) {
     Load load;
     load.route = l->text("route"), load.rate = l->number("rate", 1), load.from = l->time("from", {}),
@@ -97,6 +112,7 @@
     load.max_tokens = static_cast<int>(l->number("max-tokens", load.max_tokens));
     load.retries = static_cast<int>(l->number("retries", 0)), load.budget = l->time("budget", {}),
     load.stream = l->flag("stream", true);
+    load.calls = l->text("calls");
     load.leave = l->number("leave", 0), load.slow_readers = l->number("slow-readers", 0);
     bool known = false;
     for (const auto& r : p.routes) known |= r.name == load.route;
@@ -133,8 +149,8 @@
   return p;
 }
 
-std::string front_settings(const Plan& p, int number, const std::string& roster,
-                           const std::string& log_file) {
+std::string front_settings(const Plan& p, int number, const std::string& roster, const std::string& log_file,
+                           const std::vector<std::string>& tool_servers) {
   std::string out = "<calicograde version=\"1\">\n  <front name=\"front-" + std::to_string(number) +
                     "\" number=\"" + std::to_string(number) + "\" of=\"" + std::to_string(p.fronts) +
                     "\" zone=\"hall-" + std::to_string(number % p.zones) + "\" seed=\"" +
@@ -164,7 +180,19 @@
     if (r.effect == Effect::Deduped)
       out += std::string(" dedupe-group=\"") + word(groups, r.group) + "\" dedupe-window=\"" + ms(r.window) +
              "\"";
-    out += "/>\n";
+    if (r.relay.empty()) out += "/>\n";
+    else
+      out += ">\n    <relay tools=\"" + r.relay + "\" rounds=\"" + std::to_string(r.rounds) +
+             "\" call-time=\"2s\"/>\n  </route>\n";
+  }
+  if (!tool_servers.empty()) {
+    out += "  <tools list-every=\"200ms\">\n";
+    for (std::size_t k = 0; k < tool_servers.size(); ++k)
+      out += "    <server name=\"tools-" + std::to_string(k) + "\" address=\"" + tool_servers[k] + "\"/>\n";
+    for (const auto& t : p.tools)
+      out += "    <tool name=\"" + t.name + "\" effect=\"" + word(effects, t.effect) + "\" time-out=\"" +
+             ms(t.time_out) + "\"" + (t.effect == Effect::Deduped ? " dedupe-window=\"10s\"" : "") + "/>\n";
+    out += "  </tools>\n";
   }
   return out + "</calicograde>\n";
 }
--- a/src/lab/plan.hpp
+++ b/src/lab/plan.hpp
@@ -18,6 +18,17 @@
   Span budget;  // zero = the route's time-out
   bool stream = true;
   double leave = 0, slow_readers = 0;  // shares of the clients
+  std::string calls;  // what the stand-in model asks for: rounds with spaces between, "|" between tools
+};
+struct ToolLoad {
+  std::string tool;
+  double rate = 1, leave = 0;
+  Span from, length;
+};
+struct PlannedTool {
+  std::string name;
+  Effect effect = Effect::NonRetriable;
+  Span time_out;
 };
 struct Trouble {
   std::string kind, engines, route;
@@ -31,6 +42,8 @@
   DedupeGroup group = DedupeGroup::All;
   Span target, timeout, window;
   double value = 1;
+  std::string relay = {};  // patterns of tools that the fronts call
+  int rounds = 8;
 };
 // The five rules in figures, as the auditor counts them.
 struct RuleFigures {
@@ -46,7 +59,11 @@
   int fronts = 1, held = 512, zones = 1;
   RuleFigures rules;
   std::vector<PlannedRoute> routes;
+  std::vector<PlannedTool> tools;
+  int tool_servers = 0;
+  Span tool_takes;
   std::vector<Load> loads;
+  std::vector<ToolLoad> tool_loads;
   std::vector<Trouble> troubles;
 };
 
@@ -55,6 +72,6 @@
 Plan small_plan();  // two readers, two writers, one front
 // The settings of one of its fronts.
 std::string front_settings(const Plan& plan, int number, const std::string& roster_address,
-                           const std::string& log_file);
+                           const std::string& log_file, const std::vector<std::string>& tool_servers = {});
 
 }  // namespace calicograde::lab
--- a/src/lab/record.hpp
+++ b/src/lab/record.hpp
@@ -11,7 +11,8 @@
 // One thing that was seen on a socket by a stand-in or a client, or that the day itself did. `what` is one
 // of:
 //   engines: send send_end held unheld effect started down up   roster: told   clients: asked first final
-//   after the day: front_up front_down trouble
+//   after left   tool servers: tool_run (how: the call)
+//   the day: front_up front_down trouble
 struct Record {
   Instant at;
   std::string what;
--- a/src/lab/tool_standin.cpp
+++ b/src/lab/tool_standin.cpp
@@ -10,10 +10,11 @@
 
 using net::clock_now;
 
-ToolStandin::ToolStandin(std::string name, std::vector<std::string> tools, bool stream)
+ToolStandin::ToolStandin(std::string name, std::vector<std::string> tools, bool stream, Recorder* records)
     : name_(std::move(name)),
       tools_(std::move(tools)),
       stream_(stream),
+      records_(records),
       listener_(net::Address{"127.0.0.1", 0}),
       port_(listener_.port()) {
   acceptor_ = std::thread([this] {
@@ -104,6 +105,10 @@
   }
   if (f.turns_away) return c.respond(503, {}, "", true);
   ++runs_;
+  if (records_)
+    records_->add({clock_now(), "tool_run", name_, rpc::member_text(params, {"name"}).value_or(""),
+                   rpc::member_text(params, {"arguments", "mark"}).value_or(""),
+                   rpc::member_text(params, {"arguments", "call"}).value_or(""), 0});
   static const net::Wake never;
   const auto rest = [&](Span span) {
     return net::wait_for(never, c.stream().fd(), clock_now() + span) != net::Waited::PeerLeft;
--- a/src/lab/tool_standin.hpp
+++ b/src/lab/tool_standin.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "http/http.hpp"
+#include "lab/record.hpp"
 #include "net/socket.hpp"
 
 namespace calicograde::lab {
@@ -26,7 +27,9 @@
 class ToolStandin {
  public:
   // `tools`: definitions, as JSON. `stream`: answers calls by an event stream.
-  ToolStandin(std::string name, std::vector<std::string> tools, bool stream = true);
+  // `records`: where the runs go that name a mark and a call in their arguments.
+  ToolStandin(std::string name, std::vector<std::string> tools, bool stream = true,
+              Recorder* records = nullptr);
   ~ToolStandin();
   net::Address address() const { return {"127.0.0.1", port_}; }
   void set(const std::function<void(ToolFaults&)>& change);
@@ -42,6 +45,7 @@
   const std::string name_;
   const std::vector<std::string> tools_;
   const bool stream_;
+  Recorder* const records_;
   net::Listener listener_;
   unsigned short port_;
   mutable std::mutex mutex_;
--- a/src/messages/call.hpp
+++ b/src/messages/call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,7 +30,8 @@
   Prompt prompt;
   bool stream = false;
   std::string user_id;
-  // The shared opening: the system text, and of the first turn what stands up to its last cache_control mark.
+  // The shared opening: the tools, the system text, and of the first turn what stands up to its last
+  // cache_control mark.
   std::string opening;
 };
 
@@ -37,23 +39,34 @@
 // max_tokens.
 std::variant<Call, ApiError> parse_call(std::string_view body, bool counting = false);
 
-enum class StopReason { EndTurn, MaxTokens, StopSequence, Refusal };
+enum class StopReason { EndTurn, MaxTokens, StopSequence, Refusal, ToolUse, PauseTurn };
 
-// Writes one answer, as stream events or whole. Each function returns text ready to be sent.
+// Who makes the call that a block asks for: the client (tool_use), or this front (mcp_tool_use, as the API
+// names what is called on the client's behalf).
+enum class Calls { Client, Front };
+
+// Writes one answer, block by block. For a stream each function returns events that are ready to be sent; for
+// a whole answer they return nothing until end() returns the body. Blocks are opened and closed as they come.
 class AnswerWriter {
  public:
-  AnswerWriter(std::string id, std::string model) : id_(std::move(id)), model_(std::move(model)) {}
-  std::string begin(const Usage& usage) const;  // message_start, content_block_start
-  std::string delta(std::string_view text) const;
-  // content_block_stop, message_delta, message_stop
-  std::string end(StopReason reason, std::string_view stop, const Usage& usage) const;
-  std::string whole(std::string_view text, StopReason reason, std::string_view stop,
-                    const Usage& usage) const;
+  AnswerWriter(std::string id, std::string model, bool stream);
+  ~AnswerWriter();
+  AnswerWriter(AnswerWriter&&) noexcept;
+  std::string begin(const Usage& usage);  // message_start
+  std::string text(std::string_view piece);
+  std::string use(Calls by, std::string_view id, std::string_view name, std::string_view server);
+  std::string input(std::string_view piece);  // of the use opened last
+  // The result of a call that this front made (mcp_tool_result).
+  std::string result(std::string_view use_id, std::string_view text, bool error);
+  std::string end(StopReason reason, std::string_view stop, const Usage& usage);
   static std::string ping();
   static std::string error(const ApiError& error);
 
  private:
-  std::string id_, model_;
+  struct Parts;
+  std::string close();
+  std::string open(const char* kind, const std::string& block);
+  std::unique_ptr<Parts> parts_;
 };
 
 std::string count_body(double tokens);
--- a/src/rpc/message.cpp
+++ b/src/rpc/message.cpp
@@ -125,7 +125,8 @@
   for (const auto& t : *list) {
     const Json* name = at(t, {"name"});
     if (!name || !name->is_string()) continue;
-    Tool tool{name->get<std::string>(), "{}", dump(t), {}, {}};
+    Tool tool{name->get<std::string>(), "{}", dump(t), {}, {}, {}};
+    if (const Json* d = at(t, {"description"}); d && d->is_string()) tool.description = d->get<std::string>();
     if (const Json* schema = at(t, {"inputSchema"})) tool.schema = dump(*schema);
     if (const Json* h = at(t, {"annotations", "idempotentHint"}); h && h->is_boolean())
       tool.idempotent = h->get<bool>();
@@ -136,6 +137,37 @@
   return out;
 }
 
+std::string quoted(std::string_view text) { return dump(Json(text)); }
+
+std::string tool_definition(std::string_view name, std::string_view description, std::string_view schema) {
+  return dump(Json{{"name", name}, {"description", description}, {"inputSchema", read_or_none(schema)}});
+}
+
+std::string text_result(std::string_view text, bool error) {
+  Json j{{"content", Json::array({{{"type", "text"}, {"text", text}}})}};
+  if (error) j["isError"] = true;
+  return dump(j);
+}
+
+ToolText text_of_result(std::string_view result) {
+  const Json j = read_or_none(result);
+  ToolText out;
+  const Json* error = at(j, {"isError"});
+  out.error = error && error->is_boolean() && error->get<bool>();
+  const Json* content = at(j, {"content"});
+  if (!content || !content->is_array() || content->empty()) {
+    const Json* made = at(j, {"structuredContent"});
+    out.text = made ? dump(*made) : "";
+    return out;
+  }
+  for (const auto& block : *content) {
+    const Json* text = at(block, {"text"});
+    out.text +=
+        (out.text.empty() ? "" : "\n") + (text && text->is_string() ? text->get<std::string>() : dump(block));
+  }
+  return out;
+}
+
 std::string with_member(std::string_view json, std::initializer_list<std::string_view> path,
                         std::string_view value) {
   Json j = read_or_none(raw(json));
--- a/src/rpc/message.hpp
+++ b/src/rpc/message.hpp
@@ -53,10 +53,20 @@
 std::optional<std::string> member_json(std::string_view json, std::initializer_list<std::string_view> path);
 // The tools of a tools/list result; what is no tool is passed over.
 struct Tool {
-  std::string name, schema, definition;  // the last two as JSON
+  std::string name, schema, definition, description;  // schema and definition as JSON
   std::optional<bool> idempotent, read_only;
 };
 std::vector<Tool> tools_of(std::string_view result);
+std::string quoted(std::string_view text);  // as a JSON string
+std::string tool_definition(std::string_view name, std::string_view description, std::string_view schema);
+// A result of tools/call that holds one text, and what a result says to a model: its texts, or else whatever
+// it holds, as JSON.
+std::string text_result(std::string_view text, bool error);
+struct ToolText {
+  std::string text;
+  bool error = false;
+};
+ToolText text_of_result(std::string_view result);
 // The same object with a member set, its parents made where they are missing.
 std::string with_member(std::string_view json, std::initializer_list<std::string_view> path,
                         std::string_view value);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <utility>
 
 namespace calicograde::settings {
 namespace {
@@ -30,7 +31,11 @@
       out.pools.push_back(pool(*p, out));
     }
     for (const auto* r : root.all("route")) route(*r, out);
-    if (const auto* t = root.child("tools")) out.tools = tools(*t);
+    if (const auto* t = root.child("tools")) out.tools = tools(*t, out);
+    for (const auto* r : root.all("route"))
+      if (const auto* relay = r->child("relay"); relay && !out.tools)
+        fault(*relay, "route '" + r->text("name") + "' relays tools, but there are none",
+              "add <tools> with a server, or drop <relay>");
     return out;
   }
 
@@ -236,6 +241,7 @@
                   std::to_string(other.line) + " takes its models first",
               "move it above that line");
     }
+    if (const auto* x = e.child("relay")) r.relay = relay(*x);
     const auto at = std::find_if(out.pools.begin(), out.pools.end(),
                                  [&](const Pool& p) { return p.name == e.text("pool"); });
     if (at == out.pools.end()) {
@@ -249,7 +255,29 @@
     out.routes.push_back(std::move(r));
   }
 
-  Tools tools(const Element& e) {
+  rounds::Rules relay(const Element& e) {
+    rounds::Rules out;
+    std::string word;
+    for (const char c : e.text("tools") + " ") {
+      if (c != ' ') {
+        word += c;
+        continue;
+      }
+      if (!word.empty() && word.find('*') < word.size() - 1)
+        fault(e, "'" + word + "' is no pattern", "write a name, or a prefix that ends in *");
+      if (!word.empty()) out.tools.push_back(std::exchange(word, {}));
+    }
+    if (out.tools.empty()) fault(e, "relay names no tool", "list names or prefixes, with spaces between");
+    out.most_rounds = static_cast<int>(count(e, "rounds", 8, 100));
+    out.most_at_once = count(e, "at-once", out.most_at_once, 64);
+    out.most_calls = count(e, "calls", out.most_calls, 1000);
+    out.call_time = e.time("call-time", out.call_time);
+    out.input_bytes = e.size("input", out.input_bytes), out.result_bytes = e.size("result", out.result_bytes);
+    if (out.call_time <= Span{}) fault(e, "call-time is 0", "give a time above 0");
+    return out;
+  }
+
+  Tools tools(const Element& e, const Front& front) {
     Tools out;
     out.path = e.text("path", out.path);
     if (!out.path.starts_with('/') || out.path.starts_with("/v1/"))
@@ -270,6 +298,22 @@
       out.servers.push_back({s->text("name"), s->text("path", "/mcp"), at.value_or(net::Address{})});
       out.desk.most_calls.push_back(count(*s, "calls", 64, 1e5));
     }
+    for (const auto* t : e.all("text-tool")) {
+      TextTool x{t->text("name"), t->text("description"), t->text("system"), 0,
+                 static_cast<int>(count(*t, "max-tokens", 256, 1e6))};
+      const auto at = std::find_if(front.routes.begin(), front.routes.end(),
+                                   [&](const Route& r) { return r.name == t->text("route"); });
+      if (at == front.routes.end())
+        fault(*t, "unknown route '" + t->text("route") + "'", "name one of the routes above");
+      else if (at->effect == Effect::Deduped)
+        fault(*t, "route '" + at->name + "' is deduped, and a tool's call has no key of its client",
+              "name a route that is not");
+      else x.route = static_cast<std::size_t>(at - front.routes.begin());
+      for (const auto& other : out.texts)
+        if (other.name == x.name)
+          fault(*t, "text tool '" + x.name + "' stands twice", "give it another name");
+      out.texts.push_back(std::move(x));
+    }
     for (const auto* t : e.all("tool")) {
       tools::ToolRule r;
       r.pattern = t->text("name");
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -7,6 +7,7 @@
 #include "core/types.hpp"
 #include "http/http.hpp"
 #include "net/socket.hpp"
+#include "rounds/rounds.hpp"
 #include "settings/xml.hpp"
 #include "tools/tool_desk.hpp"
 
@@ -35,6 +36,7 @@
   Span timeout, timeout_per_1000_tokens;
   Effect effect = Effect::Retriable;
   double max_tokens = 0;  // 0 = as the client says
+  rounds::Rules relay;    // of tools that the front calls itself in the midst of a message
   int line = 0;
 };
 
@@ -42,11 +44,18 @@
   std::string name, path = "/mcp";
   net::Address address;
 };
+// A tool of the front's own that answers by an inference on a route.
+struct TextTool {
+  std::string name, description, system;  // system: what stands before the text
+  std::size_t route = 0;                  // in Front::routes
+  int max_tokens = 256;
+};
 // The second front: tool calls relayed to tool servers.
 struct Tools {
   std::string path = "/mcp";
   std::vector<std::string> origins;  // allowed; a request without an Origin is no browser's and is let in
   std::vector<ToolServer> servers;
+  std::vector<TextTool> texts;
   tools::DeskSettings desk;
   std::size_t sessions = 1000,
               kept_bytes = 4 << 20;  // sessions at once; of each, what is kept for resumption
--- a/src/tools/tool_desk.cpp
+++ b/src/tools/tool_desk.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace calicograde::tools {
 namespace {
@@ -10,8 +11,10 @@
 constexpr Span first_patience = Span::millis(5000);  // until gaps have been seen
 constexpr Span least_patience = Span::millis(200);
 constexpr Span trial_every = Span::millis(2000);  // of a doubted server, by an ordinary call
-constexpr Span busy_back = Span::millis(500);     // told to a client whose call found no place
-constexpr Span margin = Span::millis(250);        // a repeat still takes its time to arrive
+constexpr double careful_trials = 10;
+constexpr Span busy_back = Span::millis(500);   // told to a client whose call found no place
+constexpr Span margin = Span::millis(250);      // a repeat still takes its time to arrive
+constexpr Span most_rest = Span::millis(2000);  // of a call before its next send
 constexpr double deviations = 6;
 
 bool fits(const std::string& pattern, const std::string& tool) {
@@ -81,20 +84,43 @@
   if (!shown) return std::nullopt;
   const std::uint64_t shape = servers_[*shown].offers.at(c.tool).shape;
   const auto stays = stays_.find({c.session, c.tool});
-  double least = 1;
+  // Those that have not failed this call before those that have, the trusted before the doubted, then by
+  // load.
+  std::tuple<bool, bool, double> least{true, true, 1};
   for (ServerIndex k = 0; k < servers_.size(); ++k) {
     const Server& s = servers_[k];
     const auto offer = s.offers.find(c.tool);
     if (offer == s.offers.end() || offer->second.shape != shape || !may_go_to(now, c, k)) continue;
     if (stays != stays_.end() && stays->second != k) continue;
-    if (!any && (c.failed_at.contains(k) || (s.doubted && now < s.next_trial))) continue;
+    const bool failed = c.failed_at.contains(k), trusted = !doubted(k) || now >= trial_of(c, k);
+    if (!any && (failed || !trusted)) continue;
     const double load =
         static_cast<double>(busy(k)) / static_cast<double>(std::max<std::size_t>(1, settings_.most_calls[k]));
-    if (load < least) best = k, least = load;
+    if (load >= 1) continue;
+    if (const std::tuple rank{failed, !trusted, load}; !best || rank < least) best = k, least = rank;
   }
   return best;
 }
 
+// A doubted server is tried by calls that lose nothing; by others only long after.
+Instant ToolDesk::trial_of(const Call& c, ServerIndex k) const {
+  const Instant next = servers_[k].next_trial;
+  return effect_of(c.tool, k) == Effect::Retriable ? next : next + trial_every * careful_trials;
+}
+
+// A call rests before it goes to a server that has just failed it, before its last send goes to a doubted
+// one, and before a call that must not run twice goes to one that fails calls: the sends that are left are
+// spread over the time that is left, so that an outage shorter than that costs it nothing. A server that is
+// trusted again ends the rest.
+bool ToolDesk::rests(Instant now, Call& c, ServerIndex server) const {
+  const auto left = static_cast<double>(settings_.most_sends) - static_cast<double>(c.sends.size());
+  const bool careful = effect_of(c.tool, server) != Effect::Retriable;
+  const bool risky = servers_[server].doubt == Server::Doubt::Failing && (careful || left <= 1);
+  if (!risky && !c.failed_at.contains(server)) return false;
+  if (!c.rests_until) c.rests_until = now + std::min(most_rest, (c.ends - now) * (1 / (left + 1)));
+  return now < *c.rests_until;
+}
+
 // Sends a call, leaves it in the line, or ends it.
 void ToolDesk::place(Instant now, CallId id) {
   Call& c = calls_.at(id);
@@ -114,7 +140,7 @@
   if (!server && at_once(c.tool) < rule.most_at_once) {
     bool sound = false;
     for (ServerIndex k = 0; k < servers_.size(); ++k)
-      sound |= servers_[k].offers.contains(c.tool) && !servers_[k].doubted && !c.failed_at.contains(k);
+      sound |= servers_[k].offers.contains(c.tool) && !doubted(k) && !c.failed_at.contains(k);
     const bool bound = stays_.contains({c.session, c.tool});
     if (!sound || bound) server = choose(now, c, true);
   }
@@ -123,8 +149,10 @@
     return;
   }
   std::erase(line_, id);
+  if (rests(now, c, *server)) return;
+  c.rests_until.reset();
   Server& s = servers_[*server];
-  if (s.doubted) s.next_trial = now + trial_every;
+  if (doubted(*server)) s.next_trial = now + trial_every;
   if (rule.stays && c.session != 0) {
     if (stays_.size() >= stays_kept) stays_.erase(stays_.begin());
     stays_.emplace(std::pair{c.session, c.tool}, *server);
@@ -152,13 +180,18 @@
   const auto waiting = line_;
   for (const CallId id : waiting)
     if (calls_.contains(id)) place(now, id);
+  if (!std::exchange(trust_grew_, false)) return;
+  std::vector<CallId> resting;
+  for (const auto& [id, c] : calls_)
+    if (c.rests_until) resting.push_back(id);
+  for (const CallId id : resting) place(now, id);
 }
 
 std::vector<DeskAction> ToolDesk::offered(Instant now, ServerIndex server,
                                           const std::optional<std::vector<Offer>>& offers) {
   Server& s = servers_[server];
   if (!offers) {
-    doubt(now, server, "its list can't be had");
+    doubt(now, server, false, "its list can't be had");
     return done();
   }
   s.offers.clear();
@@ -198,10 +231,10 @@
   Send& s = c.sends[send];
   s.out = false;
   if (end == CallEnd::NotReached || end == CallEnd::TurnedAway) s.ran = false;
-  if (end == CallEnd::Answered || end == CallEnd::TurnedAway) sign(now, s.server);
+  if (end == CallEnd::Answered || end == CallEnd::TurnedAway) sign(now, s.server, end == CallEnd::Answered);
   servers_[s.server].awaited.erase({id, send});
   if (end == CallEnd::NotReached || end == CallEnd::Broken || end == CallEnd::Garbage)
-    doubt(now, s.server,
+    doubt(now, s.server, end != CallEnd::NotReached,
           end == CallEnd::NotReached ? "not reached"
           : end == CallEnd::Broken   ? "broke off"
                                      : "answers nonsense");
@@ -234,22 +267,24 @@
 std::vector<DeskAction> ToolDesk::tick(Instant now) {
   for (ServerIndex k = 0; k < servers_.size(); ++k) {
     Server& s = servers_[k];
-    if (s.doubted || s.awaited.empty()) continue;
+    if (doubted(k) || s.awaited.empty()) continue;
     Instant oldest = now;
     for (const auto& [name, at] : s.awaited) oldest = std::min(oldest, at);
-    if (now - std::max(oldest, s.last_sign) > patience(s)) doubt(now, k, "unusually silent");
+    if (now - std::max(oldest, s.last_sign) > patience(s)) doubt(now, k, false, "unusually silent");
   }
-  std::vector<CallId> over, move;
+  std::vector<CallId> over, move, rested;
   for (const auto& [id, c] : calls_) {
     if (now >= c.ends) over.push_back(id);
+    else if (c.rests_until && now >= *c.rests_until) rested.push_back(id);
     // What waits at a doubted server goes elsewhere where it may: its send there is given up.
     else if (!c.sends.empty() && c.sends.back().out && !c.sends.back().stopped &&
-             servers_[c.sends.back().server].doubted &&
+             doubted(c.sends.back().server) &&
              now - c.sends.back().at > patience(servers_[c.sends.back().server]))
       move.push_back(id);
   }
   for (const CallId id : over)
     fail(id, ran(calls_.at(id)) ? FailCall::Why::OutcomeUnknown : FailCall::Why::TimedOut);
+  for (const CallId id : rested) place(now, id);
   for (const CallId id : move) {
     Call& c = calls_.at(id);
     c.failed_at.insert(c.sends.back().server);
@@ -266,7 +301,7 @@
   std::erase_if(stays_, [&](const auto& s) { return s.first.first == session; });
 }
 
-void ToolDesk::sign(Instant now, ServerIndex server) {
+void ToolDesk::sign(Instant now, ServerIndex server, bool answered) {
   Server& s = servers_[server];
   if (!s.awaited.empty()) {
     Instant oldest = now;
@@ -275,8 +310,8 @@
     if (s.gaps.size() > gaps_kept) s.gaps.pop_front();
   }
   s.last_sign = now;
-  if (s.doubted) {
-    s.doubted = false;
+  if (s.doubt == Server::Doubt::Silent || (s.doubt == Server::Doubt::Failing && answered)) {
+    s.doubt = Server::Doubt::None, trust_grew_ = true;
     out_.push_back(SayOnce{"tool server " + std::to_string(server) + " trusted again"});
   }
 }
@@ -291,11 +326,12 @@
   return Span::from_seconds(std::max(3 * most, mean + deviations * deviation)) + least_patience;
 }
 
-void ToolDesk::doubt(Instant now, ServerIndex server, const char* why) {
+void ToolDesk::doubt(Instant now, ServerIndex server, bool failing, const char* why) {
   Server& s = servers_[server];
   s.next_trial = now + trial_every;
-  if (s.doubted) return;
-  s.doubted = true;
+  const bool known = doubted(server);
+  if (failing || !known) s.doubt = failing ? Server::Doubt::Failing : Server::Doubt::Silent;
+  if (known) return;
   char text[160];
   const double silent = s.awaited.empty() ? 0 : (now - s.last_sign).as_millis();
   std::snprintf(text, sizeof text, "tool server %zu doubted: %s, %zu calls out, last sign %.0f ms ago",
--- a/src/tools/tool_desk.hpp
+++ b/src/tools/tool_desk.hpp
@@ -103,12 +103,14 @@
   // The rule that a tool falls under; reads the settings only, so any thread may ask.
   const ToolRule& rule_of(const std::string& tool) const;
   std::size_t open() const { return calls_.size(); }
-  bool doubted(ServerIndex server) const { return servers_[server].doubted; }
+  bool doubted(ServerIndex server) const { return servers_[server].doubt != Server::Doubt::None; }
 
  private:
   struct Server {
     std::map<std::string, Offer> offers;
-    bool doubted = false;
+    // Silent: not reached, or unusually long without a sign; any sign ends it. Failing: it breaks off calls
+    // or answers nonsense; only an answered call ends that, for it may list its tools all the while.
+    enum class Doubt { None, Silent, Failing } doubt = Doubt::None;
     Instant last_sign, next_trial;
     std::deque<double>
         gaps;  // between signs while something was awaited, in seconds: the last few themselves
@@ -125,17 +127,20 @@
     Instant ends;
     std::vector<Send> sends;
     std::set<ServerIndex> failed_at;
+    std::optional<Instant> rests_until;  // it waits a while before its next send
   };
 
   void place(Instant now, CallId id);
   std::optional<ServerIndex> choose(Instant now, const Call& call, bool any) const;
+  Instant trial_of(const Call& call, ServerIndex server) const;
+  bool rests(Instant now, Call& call, ServerIndex server) const;
   bool may_go_to(Instant now, const Call& call, ServerIndex server) const;
   std::size_t busy(ServerIndex server) const;
   std::size_t at_once(const std::string& tool) const;
   bool ran(const Call& call) const;
-  void sign(Instant now, ServerIndex server);
+  void sign(Instant now, ServerIndex server, bool answered = false);
   Span patience(const Server& s) const;
-  void doubt(Instant now, ServerIndex server, const char* why);
+  void doubt(Instant now, ServerIndex server, bool failing, const char* why);
   void fail(CallId id, FailCall::Why why, Span retry_after = {});
   void admit(Instant now);
   std::vector<DeskAction> done() { return std::exchange(out_, {}); }
@@ -145,6 +150,7 @@
   std::map<CallId, Call> calls_;
   std::deque<CallId> line_;  // those that wait for a place, oldest first
   std::map<std::pair<std::uint64_t, std::string>, ServerIndex> stays_;
+  bool trust_grew_ = false;
   std::vector<DeskAction> out_;
 };
 
--- a/tests/program/engines_test.cpp
+++ b/tests/program/engines_test.cpp
@@ -57,6 +57,43 @@
   EXPECT_EQ(ask_body(Leg::Whole, "m", p, "", "").find("kv_transfer_params"), std::string::npos);
 }
 
+TEST(Completions, ToolsUsesAndResultsHaveTheShapeOfTheApi) {
+  Prompt p{
+      "", {{false, "hi"}, {true, "", {{"a", "look", "{}"}}, {}}, {false, "", {}, {{"a", "found", false}}}},
+      50, {},
+      {}, {},
+      {}};
+  p.tools = {{"look", "d", R"({"type":"object"})"}};
+  p.choice.how = ToolChoice::How::Any;
+  const auto body = ask_body(Leg::Whole, "m", p, "", "");
+  EXPECT_NE(
+      body.find(
+          R"({"role":"assistant","content":null,"tool_calls":[{"id":"a","type":"function","function":{"name":"look","arguments":"{}"}}]},{"role":"tool","tool_call_id":"a","content":"found"}])"),
+      std::string::npos)
+      << body;
+  EXPECT_NE(body.find(R"("tool_choice":"required")"), std::string::npos);
+  EXPECT_NE(body.find(R"("parameters":{"type":"object"})"), std::string::npos);
+}
+
+TEST(Completions, PartsOfCallsArePutTogether) {
+  CallAssembler a;
+  int number = 0;
+  const auto piece = [&](const std::string& call) {
+    const auto chunk = parse_chunk(R"({"choices":[{"delta":{"tool_calls":[)" + call + "]}}]}");
+    return chunk ? a.take(chunk->calls.at(0), "t", number) : CallAssembler::Took::Garbage;
+  };
+  using T = CallAssembler::Took;
+  EXPECT_EQ(piece(R"({"index":0,"id":"x","function":{"name":"look","arguments":"{\"a\""}})"), T::Opened);
+  EXPECT_EQ(piece(R"({"index":0,"function":{"arguments":":1}"}})"), T::More);
+  EXPECT_EQ(piece(R"({"index":1,"function":{"name":"pay"}})"), T::Opened);
+  EXPECT_EQ(piece(R"({"index":0,"function":{"arguments":"late"}})"), T::Garbage);
+  EXPECT_EQ(piece(R"({"index":2,"function":{"arguments":"{}"}})"), T::Garbage);
+  EXPECT_EQ(piece(R"({"index":-1,"function":{"name":"x"}})"), T::Garbage);
+  EXPECT_EQ(a.uses()[0].input, R"({"a":1})");
+  EXPECT_EQ(a.uses()[1].id, "t2");
+  EXPECT_TRUE(is_object("") && is_object("{}") && !is_object("{") && !is_object("[]"));
+}
+
 TEST(Completions, GarbageIsNoAnswer) {
   for (const char* bad : {"", "{", "[]", "{}", R"({"error":{}})", R"({"kv_transfer_params":3,"usage":{}})",
                           R"({"kv_transfer_params":{},"usage":{"prompt_tokens":-1}})"}) {
--- a/tests/program/rpc_test.cpp
+++ b/tests/program/rpc_test.cpp
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <map>
+
 #include "rpc/message.hpp"
 #include "rpc/session.hpp"
 
@@ -71,6 +74,56 @@
   EXPECT_FALSE(s.may_be_asked("roots/list"));
 }
 
+// Conversations against a small model of the protocol: what may be asked when, one response an id, cancels
+// that cross, ids used for good, the bound on open calls.
+RC_GTEST_PROP(Rpc, ConversationsFollowTheProtocol, ()) {
+  constexpr std::size_t most = 3;
+  Session s("s", most, 1 << 16);
+  enum class State { Open, Answered, Cancelled };
+  std::map<Id, State> model;
+  bool opened = false, ready = false;
+  const auto open = [&] {
+    return static_cast<std::size_t>(
+        std::count_if(model.begin(), model.end(), [](const auto& m) { return m.second == State::Open; }));
+  };
+  for (const int step : *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 100))) {
+    const Id id = *rc::gen::element<Id>("1", "2", "\"1\"", "\"a\"", "9007199254740993");
+    const std::string method =
+        *rc::gen::element<std::string>("initialize", "ping", "tools/call", "tools/list");
+    if (step < 50) {
+      const auto said = s.ask({id, method, ""});
+      const bool early = method == "ping" || (method == "initialize" && !opened);
+      if (model.contains(id) || (method == "initialize" && opened)) RC_ASSERT(said == Session::Ask::Again);
+      else if (!opened && !early) RC_ASSERT(said == Session::Ask::NotOpened);
+      else if (open() >= most) RC_ASSERT(said == Session::Ask::TooMany);
+      else {
+        RC_ASSERT(said == Session::Ask::Go);
+        model[id] = State::Open;
+        if (method == "initialize") {
+          // Its answer opens the session.
+          RC_ASSERT(s.answer(id));
+          model[id] = State::Answered, opened = true;
+          s.opened(agreed_revision("2025-03-26"), false, true);
+        }
+      }
+    } else if (step < 75) {
+      const bool owed = model.contains(id) && model[id] == State::Open;
+      RC_ASSERT(s.answer(id) == owed);
+      if (owed) model[id] = State::Answered;
+    } else if (step < 95) {
+      const bool stands = model.contains(id) && model[id] == State::Open;
+      RC_ASSERT(s.cancel(id) == stands);
+      if (stands) model[id] = State::Cancelled;
+    } else {
+      s.ready();
+      ready = ready || opened;
+    }
+    RC_ASSERT(s.open() == open());
+    RC_ASSERT((s.phase() == Session::Phase::Ready) == ready);
+    RC_ASSERT(s.may_be_asked("elicitation/create") == opened && !s.may_be_asked("sampling/createMessage"));
+  }
+}
+
 // Whatever was sent before the break, and wherever the client stopped: nothing lost, nothing repeated, or
 // plainly refused.
 RC_GTEST_PROP(Rpc, AStreamIsTakenUpWhereItBroke, (const std::vector<bool>& which)) {
--- a/tests/program/tools_front_test.cpp
+++ b/tests/program/tools_front_test.cpp
@@ -62,7 +62,7 @@
     s->stack = 256 << 10;
     core = std::make_unique<Core>(*s, log);
     std::vector<std::unique_ptr<Protocol>> protocols;
-    protocols.push_back(tools_front(*core));
+    protocols.push_back(tools_front(*core, std::make_shared<ToolCalls>(*core)));
     server = std::make_unique<Server>(*core, std::move(protocols));
     core->start();
     server->start();
--- a/tests/program/tools_test.cpp
+++ b/tests/program/tools_test.cpp
@@ -100,6 +100,70 @@
   EXPECT_EQ(told[6], FailCall::Why::TimedOut);
 }
 
+// Found by a day with tool servers: all sends of a call were spent on one failing server within 3 ms.
+TEST(Tools, WhereEveryServerFailsItsSendsAreSpreadOverItsTime) {
+  auto d = desk();
+  std::set<ServerIndex> tried;
+  auto actions = d.called(t0, 1, "free", 0, t0 + ms(4000));
+  Instant now = t0;
+  for (std::uint32_t send = 0; send < 2; ++send) {
+    const auto s = one<SendCall>(actions);
+    ASSERT_TRUE(s);
+    EXPECT_TRUE(tried.insert(s->server).second);
+    actions = d.ended(now, 1, send, CallEnd::Broken);
+  }
+  const auto third = one<SendCall>(actions);
+  ASSERT_TRUE(third && tried.insert(third->server).second);
+  // With one server only, the second send waits.
+  ToolDesk alone(settings());
+  alone.offered(t0, 0, std::vector<Offer>{{"free", 1, {}, {}}});
+  alone.called(t0, 1, "free", 0, t0 + ms(4000));
+  EXPECT_FALSE(one<SendCall>(alone.ended(t0 + ms(1), 1, 0, CallEnd::Broken)));
+  EXPECT_FALSE(one<SendCall>(alone.tick(t0 + ms(900))));
+  EXPECT_TRUE(one<SendCall>(alone.tick(t0 + ms(1400))));
+}
+
+// A call that must not run twice does not go to servers that break calls off while it has time; it goes as
+// soon as one is trusted again.
+TEST(Tools, ACarefulCallWaitsWhereEveryServerFailsCalls) {
+  ToolDesk d(settings());
+  const std::vector<Offer> both{{"free", 1, {}, {}}, {"once", 1, {}, {}}};
+  d.offered(t0, 0, both);
+  d.called(t0, 1, "free", 0, t0 + ms(4000));
+  d.ended(t0, 1, 0, CallEnd::Broken);
+  EXPECT_FALSE(one<SendCall>(d.called(t0 + ms(10), 2, "once", 0, t0 + ms(8000))));
+  const auto again = one<SendCall>(d.tick(t0 + ms(1400)));  // the first, after its rest
+  ASSERT_TRUE(again && again->call == 1);
+  const auto careful = one<SendCall>(d.ended(t0 + ms(1410), 1, 1, CallEnd::Answered));
+  ASSERT_TRUE(careful);
+  EXPECT_EQ(careful->call, 2u);
+  // Where trust does not come back, it goes after a while all the same.
+  d.ended(t0 + ms(1420), 2, 0, CallEnd::Broken);
+  EXPECT_FALSE(one<SendCall>(d.called(t0 + ms(1500), 3, "once", 0, t0 + ms(3000))));
+  EXPECT_TRUE(one<SendCall>(d.tick(t0 + ms(2700))));
+}
+
+// Found by the same day: a server that breaks off every call, yet lists its tools, was trusted anew with each
+// list.
+TEST(Tools, AServerThatFailsCallsIsTrustedOnceItAnswersOneNotOnceItListsItsTools) {
+  auto d = desk();
+  const auto first = one<SendCall>(d.called(t0, 1, "free", 0, t0 + ms(4000)));
+  ASSERT_TRUE(first);
+  d.ended(t0, 1, 0, CallEnd::Broken);
+  d.offered(t0 + ms(10), first->server,
+            std::vector<Offer>{{"free", 1, {}, {}}, {"once", 1, {}, {}}, {"key", 1, {}, {}}});
+  d.heard(t0 + ms(10), 1, 1);
+  EXPECT_TRUE(d.doubted(first->server));
+  // Tried again by a call that loses nothing; not by one that must not run twice.
+  for (CallId k = 10; k < 14; ++k)
+    EXPECT_NE(one<SendCall>(d.called(t0 + ms(3000), k, "once", 0, t0 + ms(7000)))->server, first->server);
+  bool tried = false;
+  for (CallId k = 20; k < 24; ++k)
+    if (const auto s = one<SendCall>(d.called(t0 + ms(3000), k, "free", 0, t0 + ms(7000))))
+      tried |= s->server == first->server;
+  EXPECT_TRUE(tried);
+}
+
 TEST(Tools, AnUnusuallySilentServerLosesWhatMayGoElsewhere) {
   auto d = desk();
   Instant now = t0;
