--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -106,6 +107,10 @@
   double max_answer_tokens = 0;
   bool repeat = false;
   bool resumed = false;
+  // What an index of prompts knows of it: tokens that engines are taken to keep; whoever is not named keeps
+  // none. None = there is no index. `kept_surely`: no engine keeps what this front has not heard of.
+  std::optional<std::map<EngineId, double>> kept = {};
+  bool kept_surely = false;
 };
 struct StreamStarted {
   InfId inf = 0;
--- /dev/null
+++ b/src/emulator/experiment.cpp
@@ -0,0 +1,272 @@
+#include "emulator/experiment.hpp"
+
+#include <hdf5.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/math/distributions/students_t.hpp>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <stdexcept>
+#include <thread>
+
+#include "routing/state.hpp"
+
+namespace calicograde::emulator {
+namespace {
+
+namespace fs = std::filesystem;
+
+const std::map<std::string, Knows> words = {{"nothing", Knows::Nothing},
+                                            {"table", Knows::Table},
+                                            {"sends", Knows::Sends},
+                                            {"events", Knows::Events},
+                                            {"perfect", Knows::Perfect}};
+
+std::string run_file(const std::string& folder, const Arm& a, const NamedLoad& l, int seed) {
+  return folder + "/runs/" + a.name + "." + l.name + "." + std::to_string(seed) + ".h5";
+}
+
+// A column a figure. The library is not made for threads: one at a time.
+std::mutex& hdf5() {
+  static std::mutex one;
+  return one;
+}
+constexpr const char* columns[] = {"at_s",         "first_token_ms", "prompt_tokens",
+                                   "found_tokens", "best_tokens",    "outcome"};
+
+void write_rows(const std::string& file, const std::vector<Row>& rows) {
+  const std::lock_guard lock(hdf5());
+  const std::string fresh = file + ".new";
+  const hid_t f = H5Fcreate(fresh.c_str(), H5F_ACC_TRUNC, H5P_DEFAULT, H5P_DEFAULT);
+  if (f < 0) throw std::runtime_error("cannot write " + fresh);
+  const hsize_t n = rows.size();
+  const hid_t space = H5Screate_simple(1, &n, nullptr);
+  for (int c = 0; c < 6; ++c) {
+    std::vector<double> v;
+    for (const Row& r : rows) {
+      const double of[] = {r.at_s,         r.first_token_ms, r.prompt_tokens,
+                           r.found_tokens, r.best_tokens,    static_cast<double>(r.outcome)};
+      v.push_back(of[c]);
+    }
+    const hid_t d = H5Dcreate2(f, columns[c], H5T_IEEE_F64LE, space, H5P_DEFAULT, H5P_DEFAULT, H5P_DEFAULT);
+    if (d < 0 || H5Dwrite(d, H5T_NATIVE_DOUBLE, H5S_ALL, H5S_ALL, H5P_DEFAULT, v.data()) < 0)
+      throw std::runtime_error("cannot write " + fresh);
+    H5Dclose(d);
+  }
+  H5Sclose(space), H5Fclose(f);
+  fs::rename(fresh, file);  // a run that was stopped leaves nothing that counts
+}
+
+std::vector<double> read_column(hid_t file, const char* name) {
+  const hid_t d = H5Dopen2(file, name, H5P_DEFAULT);
+  if (d < 0) return {};
+  const hid_t space = H5Dget_space(d);
+  std::vector<double> out(
+      static_cast<std::size_t>(std::max<hssize_t>(0, H5Sget_simple_extent_npoints(space))));
+  H5Dread(d, H5T_NATIVE_DOUBLE, H5S_ALL, H5S_ALL, H5P_DEFAULT, out.data());
+  H5Sclose(space), H5Dclose(d);
+  return out;
+}
+
+// What one run came to.
+struct Figures {
+  double hit = 0, best = 0, p50 = 0, p99 = 0, late = 0, lost = 0;
+};
+std::optional<Figures> figures_of(const std::string& file, double target_ms) {
+  const std::lock_guard lock(hdf5());
+  if (!fs::exists(file)) return std::nullopt;
+  const hid_t f = H5Fopen(file.c_str(), H5F_ACC_RDONLY, H5P_DEFAULT);
+  if (f < 0) return std::nullopt;
+  const auto first = read_column(f, "first_token_ms"), asked = read_column(f, "prompt_tokens"),
+             found = read_column(f, "found_tokens"), best = read_column(f, "best_tokens"),
+             outcome = read_column(f, "outcome");
+  H5Fclose(f);
+  Figures out;
+  std::vector<double> answered;
+  double sum_asked = 0, sum_found = 0, sum_best = 0, late = 0;
+  for (std::size_t k = 0; k < outcome.size(); ++k) {
+    if (outcome[k] != 0) continue;
+    answered.push_back(first[k]), sum_asked += asked[k], sum_found += found[k], sum_best += best[k];
+    late += first[k] > target_ms;
+  }
+  const auto n = static_cast<double>(std::max<std::size_t>(1, outcome.size()));
+  out.hit = sum_found / std::max(1.0, sum_asked), out.best = sum_best / std::max(1.0, sum_asked);
+  out.p50 = quantile(answered, 0.5, 0), out.p99 = quantile(answered, 0.99, 0);
+  out.late = late / n, out.lost = (n - static_cast<double>(answered.size())) / n;
+  return out;
+}
+
+// Mean and half the width of its 95% interval over the seeds.
+struct Between {
+  double mean = 0, half = 0;
+};
+Between between(const std::vector<double>& v) {
+  Between out{mean(v), 0};
+  if (v.size() < 2) return out;
+  const double n = static_cast<double>(v.size());
+  const double s = deviation(v) * std::sqrt(n / (n - 1));
+  out.half = boost::math::quantile(boost::math::students_t(n - 1), 0.975) * s / std::sqrt(n);
+  return out;
+}
+std::string text(const Between& b, const char* form, double times = 1) {
+  char out[64], part[32];
+  std::snprintf(part, sizeof part, form, b.mean * times);
+  std::string s = part;
+  std::snprintf(part, sizeof part, form, b.half * times);
+  std::snprintf(out, sizeof out, "%s ± %s", s.c_str(), part);
+  return out;
+}
+
+}  // namespace
+
+std::optional<Experiment> read_experiment(const std::string& file, std::string_view text_of_file,
+                                          std::vector<settings::Fault>& faults) {
+  const auto before = faults.size();
+  const auto root = settings::read_xml(file, text_of_file, experiment_schema(), faults);
+  if (!root || faults.size() > before) return std::nullopt;
+  Experiment e;
+  e.name = root->text("name"), e.seeds = static_cast<int>(root->number("seeds", e.seeds));
+  for (const auto* l : root->all("load")) {
+    NamedLoad n;
+    n.name = l->text("name");
+    LoadShape& s = n.load;
+    s.sessions_a_s = l->number("sessions", s.sessions_a_s), s.turns = l->number("turns", s.turns);
+    s.think_s = l->time("think", Span::from_seconds(s.think_s)).seconds();
+    s.openings = static_cast<std::size_t>(l->number("openings", static_cast<double>(s.openings)));
+    s.zipf = l->number("zipf", s.zipf), s.opening_tokens = l->number("opening-tokens", s.opening_tokens);
+    s.turn_tokens = l->number("turn-tokens", s.turn_tokens),
+    s.answer_tokens = l->number("answer-tokens", s.answer_tokens), s.spread = l->number("spread", s.spread);
+    s.burst = l->number("burst", s.burst), s.burst_s = l->time("burst-for", {}).seconds();
+    if (s.sessions_a_s <= 0 || s.spread <= 0 || s.opening_tokens <= 0 || s.turn_tokens <= 0)
+      faults.push_back(
+          {file, l->line, "load '" + n.name + "' has a rate, length or spread of 0", "give it above 0"});
+    for (const auto& other : e.loads)
+      if (other.name == n.name)
+        faults.push_back({file, l->line, "load '" + n.name + "' stands twice", "give it another name"});
+    e.loads.push_back(std::move(n));
+  }
+  for (const auto* a : root->all("arm")) {
+    Arm arm;
+    arm.name = a->text("name");
+    WorldShape& w = arm.world;
+    w.knows = words.at(a->text("knows"));
+    w.length = root->time("length", w.length), w.warm_up = root->time("warm-up", w.warm_up);
+    w.readers = static_cast<int>(a->number("readers", w.readers)),
+    w.writers = static_cast<int>(a->number("writers", w.writers)),
+    w.fronts = static_cast<int>(a->number("fronts", w.fronts)),
+    w.restarts = static_cast<int>(a->number("restarts", w.restarts));
+    w.memory_blocks =
+        static_cast<std::size_t>(a->number("memory-blocks", static_cast<double>(w.memory_blocks)));
+    for (const auto& other : e.arms)
+      if (other.name == arm.name)
+        faults.push_back({file, a->line, "arm '" + arm.name + "' stands twice", "give it another name"});
+    e.arms.push_back(std::move(arm));
+  }
+  if (faults.size() > before) return std::nullopt;
+  return e;
+}
+
+void play(const Experiment& e, const std::string& folder, int threads) {
+  fs::create_directories(folder + "/runs");
+  struct Run {
+    const Arm* arm;
+    const NamedLoad* load;
+    int seed;
+  };
+  std::vector<Run> runs;
+  for (const auto& l : e.loads)
+    for (const auto& a : e.arms)
+      for (int s = 1; s <= e.seeds; ++s)
+        if (!fs::exists(run_file(folder, a, l, s))) runs.push_back({&a, &l, s});
+  std::atomic<std::size_t> next = 0, done = 0;
+  std::mutex telling;
+  std::string failed;
+  std::vector<std::thread> workers;
+  for (int t = 0; t < std::max(1, threads); ++t)
+    workers.emplace_back([&] {
+      for (std::size_t k; (k = next++) < runs.size();) {
+        WorldShape w = runs[k].arm->world;
+        w.load = runs[k].load->load, w.seed = static_cast<std::uint64_t>(runs[k].seed);
+        try {
+          write_rows(run_file(folder, *runs[k].arm, *runs[k].load, runs[k].seed), simulate(w));
+        } catch (const std::exception& problem) {
+          const std::lock_guard lock(telling);
+          failed = problem.what();
+          next = runs.size();
+          return;
+        }
+        const std::lock_guard lock(telling);
+        std::fprintf(stderr, "%zu of %zu: %s, %s, seed %d\n", ++done, runs.size(), runs[k].arm->name.c_str(),
+                     runs[k].load->name.c_str(), runs[k].seed);
+      }
+    });
+  for (auto& w : workers) w.join();
+  if (!failed.empty()) throw std::runtime_error(failed);
+}
+
+bool report(const Experiment& e, const std::string& folder) {
+  std::ofstream md(folder + "/" + e.name + ".md");
+  md << "# " << e.name << "\n\nSimulated by `calicograde-lab experiment`, " << e.seeds
+     << " seeds; means with 95% intervals; differences are to `" << e.arms.front().name
+     << "`, paired by seed. Hit rate: tokens found kept / tokens asked. Lost: shed or errored.\n";
+  std::ofstream data(folder + "/" + e.name + ".dat");
+  for (const auto& l : e.loads) {
+    md << "\n## " << l.name
+       << "\n\n| arm | hit rate | best possible | difference of hit rate | first token p50 ms | p99 ms "
+          "| difference of p99 ms | late % | lost % |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- "
+          "|\n";
+    std::vector<Figures> base;
+    for (const auto& a : e.arms) {
+      std::vector<double> hit, best, p50, p99, late, lost, d_hit, d_p99;
+      for (int s = 1; s <= e.seeds; ++s) {
+        const auto f = figures_of(run_file(folder, a, l, s), a.world.first_token_target.as_millis());
+        if (!f) return false;
+        if (&a == &e.arms.front()) base.push_back(*f);
+        const Figures& b = base[static_cast<std::size_t>(s - 1)];
+        hit.push_back(f->hit), best.push_back(f->best), p50.push_back(f->p50), p99.push_back(f->p99);
+        late.push_back(f->late), lost.push_back(f->lost);
+        d_hit.push_back(f->hit - b.hit), d_p99.push_back(f->p99 - b.p99);
+      }
+      const auto h = between(hit), p = between(p99);
+      md << "| " << a.name << " | " << text(h, "%.3f") << " | " << text(between(best), "%.3f") << " | "
+         << text(between(d_hit), "%+.3f") << " | " << text(between(p50), "%.0f") << " | " << text(p, "%.0f")
+         << " | " << text(between(d_p99), "%+.0f") << " | " << text(between(late), "%.2f", 100) << " | "
+         << text(between(lost), "%.2f", 100) << " |\n";
+      data << '"' << l.name << "\" \"" << a.name << "\" " << h.mean << ' ' << h.half << ' ' << p.mean << ' '
+           << p.half << '\n';
+    }
+  }
+  data.close();
+  // Charts: a group of bars a load, a bar an arm.
+  for (const auto& [figure, column, label] :
+       {std::tuple{"hit", 3, "hit rate"}, std::tuple{"p99", 5, "first token p99, ms"}}) {
+    const std::string script = folder + "/" + e.name + ".gp";
+    std::ofstream g(script);
+    g << "set terminal svg size 900,420 font 'sans,12'\nset output '" << folder << "/" << e.name << "-"
+      << figure << ".svg'\nset style fill solid 0.7\nset boxwidth 0.8\nset ylabel '" << label
+      << "'\nset key outside right\nset yrange [0:*]\nset grid y\nset xtics (";
+    const double wide = static_cast<double>(e.arms.size()) + 1;
+    for (std::size_t l = 0; l < e.loads.size(); ++l)
+      g << (l ? ", " : "") << "'" << e.loads[l].name << "' " << static_cast<double>(l) * wide + wide / 2 - 1;
+    g << ")\nplot ";
+    for (std::size_t a = 0; a < e.arms.size(); ++a)
+      g << (a ? ", " : "") << "'" << folder << "/" << e.name << ".dat' using ((int($0)%" << e.arms.size()
+        << "==" << a << ") ? int($0/" << e.arms.size() << ")*" << wide << "+" << a << " : NaN):" << column
+        << ":" << column + 1 << " with boxerrorbars lc " << a + 1 << " title '" << e.arms[a].name << "'";
+    g << "\n";
+    g.close();
+    const std::string command = "gnuplot '" + script + "'";
+    if (std::system(command.c_str()) != 0)
+      std::fprintf(stderr, "no chart: gnuplot failed on %s\n", script.c_str());
+    fs::remove(script);
+  }
+  fs::remove(folder + "/" + e.name + ".dat");
+  return true;
+}
+
+}  // namespace calicograde::emulator
--- a/src/engines/completions.cpp
+++ b/src/engines/completions.cpp
@@ -119,12 +119,135 @@
   return dump(j);
 }
 
+std::string canonical_text(const Prompt& p) {
+  std::string out;
+  const auto add = [&](std::string_view kind, std::initializer_list<std::string_view> parts) {
+    out += kind, out += '\n';
+    for (const auto part : parts) out += part, out += '\n';
+  };
+  for (const auto& t : p.tools) {
+    const Json schema = parse(t.schema);
+    add("tool", {t.name, t.description, dump(schema.is_object() ? schema : Json::object())});
+  }
+  if (!p.system.empty()) add("system", {p.system});
+  for (const auto& t : p.turns) {
+    for (const auto& r : t.results) add("result", {r.error ? "Error: " + r.text : r.text});
+    if (!t.assistant && t.text.empty() && !t.results.empty()) continue;
+    add(t.assistant ? "assistant" : "user", {t.text});
+    for (const auto& u : t.uses) add("call", {u.name, u.input});
+  }
+  return out;
+}
+
+std::string canonical_text(std::string_view body) {
+  const Json j = parse(body);
+  std::string out;
+  const auto add = [&](std::string_view kind, std::initializer_list<std::string_view> parts) {
+    out += kind, out += '\n';
+    for (const auto part : parts) out += part, out += '\n';
+  };
+  if (const Json* tools = at(j, "tools"); tools && tools->is_array())
+    for (const auto& t : *tools)
+      if (const Json* f = at(t, "function")) {
+        const Json* schema = at(*f, "parameters");
+        add("tool", {text(*f, "name"), text(*f, "description"), schema ? dump(*schema) : "{}"});
+      }
+  const Json* messages = at(j, "messages");
+  if (!messages || !messages->is_array()) return out;
+  for (const auto& m : *messages) {
+    const std::string role = text(m, "role");
+    add(role == "tool" ? "result" : role, {text(m, "content")});
+    if (const Json* calls = at(m, "tool_calls"); calls && calls->is_array())
+      for (const auto& c : *calls)
+        if (const Json* f = at(c, "function")) add("call", {text(*f, "name"), text(*f, "arguments")});
+  }
+  return out;
+}
+
+namespace {
+
+std::string hex(prefix::BlockName n) {
+  char out[17];
+  std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(n));
+  return out;
+}
+std::optional<prefix::Chain> chain_of(const Json& list) {
+  if (!list.is_array()) return std::nullopt;
+  prefix::Chain out;
+  for (const auto& b : list) {
+    prefix::BlockName n = 0;
+    if (!b.is_string()) return std::nullopt;
+    const auto& s = b.get_ref<const std::string&>();
+    const auto [end, error] = std::from_chars(s.data(), s.data() + s.size(), n, 16);
+    if (error != std::errc{} || end != s.data() + s.size() || n == 0) return std::nullopt;
+    out.push_back(n);
+  }
+  return out;
+}
+Json list_of(const prefix::Chain& chain) {
+  Json out = Json::array();
+  for (const auto b : chain) out.push_back(hex(b));
+  return out;
+}
+
+}  // namespace
+
+std::optional<CacheWord> parse_cache(std::string_view data) {
+  const Json j = parse(data);
+  const Json* n = at(j, "number");
+  if (!n || !n->is_number_unsigned()) return std::nullopt;
+  if (const Json* chains = at(j, "chains")) {
+    CacheWhole out{n->get<std::uint64_t>(), {}};
+    if (!chains->is_array()) return std::nullopt;
+    for (const auto& c : *chains) {
+      auto chain = chain_of(c);
+      if (!chain) return std::nullopt;
+      out.chains.push_back(std::move(*chain));
+    }
+    return out;
+  }
+  using What = prefix::CacheEvent::What;
+  prefix::CacheEvent e{n->get<std::uint64_t>(), What::Stored, 0, {}};
+  const std::string what = text(j, "what");
+  if (what == "cleared") return e.what = What::Cleared, e;
+  if (what != "stored" && what != "removed") return std::nullopt;
+  e.what = what == "stored" ? What::Stored : What::Removed;
+  const Json* blocks = at(j, "blocks");
+  auto chain = blocks ? chain_of(*blocks) : std::nullopt;
+  if (!chain) return std::nullopt;
+  e.blocks = std::move(*chain);
+  if (const Json* after = at(j, "after")) {
+    const auto one = chain_of(Json::array({*after}));
+    if (!one) return std::nullopt;
+    e.after = one->front();
+  }
+  return e;
+}
+
+std::string text_of(const CacheWord& word) {
+  if (const auto* w = std::get_if<CacheWhole>(&word)) {
+    Json chains = Json::array();
+    for (const auto& c : w->chains) chains.push_back(list_of(c));
+    return dump(Json{{"number", w->number}, {"chains", std::move(chains)}});
+  }
+  using What = prefix::CacheEvent::What;
+  const auto& e = std::get<prefix::CacheEvent>(word);
+  Json j{{"number", e.number},
+         {"what", e.what == What::Stored    ? "stored"
+                  : e.what == What::Removed ? "removed"
+                                            : "cleared"}};
+  if (e.what != What::Cleared) j["blocks"] = list_of(e.blocks);
+  if (e.after != 0) j["after"] = hex(e.after);
+  return dump(j);
+}
+
 std::optional<ReadAnswer> parse_read(std::string_view body) {
   const Json j = parse(body);
   const Json* state = at(j, "kv_transfer_params");
   const auto usage = usage_of(j);
   if (!state || !state->is_object() || !usage) return std::nullopt;
-  return ReadAnswer{dump(*state), *usage};
+  const Json* details = at(*at(j, "usage"), "prompt_tokens_details");
+  return ReadAnswer{dump(*state), *usage, details && at(*details, "cached_tokens")};
 }
 
 std::optional<Chunk> parse_chunk(std::string_view data) {
--- a/src/engines/completions.hpp
+++ b/src/engines/completions.hpp
@@ -4,10 +4,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "core/prompt.hpp"
 #include "core/types.hpp"
+#include "prefix/index.hpp"
 
 // The chat-completions shape that engines publish for disaggregated serving (kv_transfer_params), and the
 // small extension of docs/front.md for what has no public call. Free of I/O.
@@ -20,9 +22,15 @@
 std::string ask_body(Leg leg, const std::string& model, const Prompt& prompt, const std::string& state,
                      const std::string& place);
 
+// A prompt as one text, by which blocks are named (docs/prefix.md, "Names"): engines that send cache events
+// make the same of the body that they get.
+std::string canonical_text(const Prompt& prompt);
+std::string canonical_text(std::string_view body);
+
 struct ReadAnswer {
   std::string state;  // kv_transfer_params, as JSON
   Usage usage;
+  bool kept_told = false;  // the engine says how much it had kept
 };
 // None if it is no answer to a read.
 std::optional<ReadAnswer> parse_read(std::string_view body);
@@ -82,6 +90,16 @@
 // The one table of outcomes (docs/front.md). "May have run" is judged on the safe side.
 Judged judge(Leg leg, const SendFacts& facts);
 
+// An engine's cache stream (docs/prefix.md, "Cache events"): the whole once, then what changes. None if it is
+// neither.
+struct CacheWhole {
+  std::uint64_t number = 0;  // of the event that comes next
+  std::vector<prefix::Chain> chains;
+};
+using CacheWord = std::variant<CacheWhole, prefix::CacheEvent>;
+std::optional<CacheWord> parse_cache(std::string_view data);
+std::string text_of(const CacheWord& word);
+
 // The error of an engine's answer: its code, or else its type; and its message.
 struct EngineError {
   std::string code, message;
--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -30,6 +30,11 @@
   return it->second.sends[send].engine;
 }
 
+bool Cases::is_whole(InfId inf, std::uint8_t send) const {
+  const auto it = cases_.find(inf);
+  return it != cases_.end() && send < it->second.sends.size() && it->second.sends[send].leg == Leg::Whole;
+}
+
 std::size_t Cases::holdings() const {
   std::size_t n = 0;
   for (const auto& [inf, c] : cases_) n += c.holdings.size();
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -67,6 +67,8 @@
   bool answered = false;  // the client has had its final answer from this send
   std::string state;      // of a read that is done
   std::uint32_t kept_tokens = 0;
+  bool kept_told = false;
+  bool refused_link = false;  // nothing listens there
   std::optional<LoadReport> report;
 };
 
@@ -100,6 +102,7 @@
   std::vector<Order> take_orders() { return std::exchange(orders_, {}); }
   std::size_t open() const { return cases_.size(); }
   std::optional<EngineId> engine_of(InfId inf, std::uint8_t send) const;
+  bool is_whole(InfId inf, std::uint8_t send) const;
   bool has(InfId inf) const { return cases_.contains(inf); }
   std::size_t holdings() const;
 
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -16,6 +16,7 @@
 #include "front/workers.hpp"
 #include "net/clock.hpp"
 #include "net/thread.hpp"
+#include "prefix/knowledge.hpp"
 #include "roster/roster.hpp"
 #include "routing/router.hpp"
 
@@ -32,6 +33,8 @@
 constexpr std::size_t roster_bytes = 16 << 20;  // of one document
 constexpr Span roster_silence = Span::millis(30000);
 constexpr std::size_t keys_kept = 65536;
+constexpr std::size_t cache_bytes = 64 << 20;  // of one event of an engine's cache
+constexpr Span cache_again = Span::millis(500), cache_silence = Span::millis(10000);
 constexpr std::size_t errand_threads = 64, errands_waiting = 65536;
 
 const char* word(EndedAs as) {
@@ -128,9 +131,14 @@
 struct Heard {
   FleetListed list;
 };
+struct CacheSaid {
+  EngineId engine;
+  std::optional<engines::CacheWord> word;    // none = the stream is lost
+  std::shared_ptr<std::atomic<bool>> again;  // raised where the whole is wanted anew
+};
 struct Report {
   std::size_t pool = 0;
-  std::variant<Taken, Started, Ended, PlaceSaid, Gone, Heard> what;
+  std::variant<Taken, Started, Ended, PlaceSaid, Gone, Heard, CacheSaid> what;
 };
 
 }  // namespace
@@ -251,11 +259,17 @@
           router(seed, p.routing),
           cases(name, p.routing),
           links(p.routing.link_idle, 256),
+          knowledge({p.index_blocks, p.index_engines, 200000, p.routing.fronts}, p.routing.kinds, tell(p)),
           follower(kinds(p), zones) {
       std::vector<bool> release;
       for (const auto& k : p.kinds) release.push_back(k.release);
       cases.offers(release);
     }
+    static std::vector<bool> tell(const settings::Pool& p) {
+      std::vector<bool> out;
+      for (const auto& k : p.kinds) out.push_back(k.cache_events);
+      return out;
+    }
     static std::vector<std::string> kinds(const settings::Pool& p) {
       std::vector<std::string> out;
       for (const auto& k : p.kinds) out.push_back(k.name);
@@ -269,6 +283,9 @@
     std::multimap<Instant, std::uint64_t> timers;
     AddressBook book;
     Links links;
+    prefix::Knowledge knowledge;  // the owner's alone
+    std::map<EngineId, std::shared_ptr<std::atomic<bool>>>
+        streams;                // of caches; the follower's thread's alone
     roster::Follower follower;  // the follower's thread's alone
     std::atomic<bool> heard = false;
   };
@@ -319,13 +336,23 @@
     std::optional<InfId> about;
     if (auto* t = std::get_if<Taken>(&r.what)) {
       t->what.budget = std::max(Span::micros(1), t->ticket->asked().ends - now);
+      p.knowledge.arrived(t->what, t->ticket->asked().chain);
       event = p.cases.take(now, t->what);
       if (event) p.open[t->what.inf].ticket = std::move(t->ticket);
       else t->ticket->answer({Final::How::Shed, Span{}, false, 0, {}});
     } else if (auto* s = std::get_if<Started>(&r.what)) {
+      const auto engine = p.cases.engine_of(s->inf, s->send);
+      // An engine that reads for itself has read it now; what it had kept it does not tell before the end.
+      if (engine && p.cases.is_whole(s->inf, s->send)) p.knowledge.read(s->inf, *engine, std::nullopt);
       event = p.cases.started(now, s->inf, s->send);
     } else if (auto* e = std::get_if<Ended>(&r.what)) {
       log_end(p, *e);
+      if (const auto engine = p.cases.engine_of(e->inf, e->send)) {
+        if (e->ending.refused_link) p.knowledge.refused(*engine);
+        if (e->ending.as == EndedAs::ReadDone)
+          p.knowledge.read(e->inf, *engine,
+                           e->ending.kept_told ? std::optional<double>(e->ending.kept_tokens) : std::nullopt);
+      }
       event = p.cases.ended(now, e->inf, e->send, e->ending);
       about = e->inf;
     } else if (auto* l = std::get_if<PlaceSaid>(&r.what)) {
@@ -334,15 +361,23 @@
       event = p.cases.client_left(g->inf);
       about = g->inf;
     } else if (auto* h = std::get_if<Heard>(&r.what)) {
-      p.cases.listed(h->list);
+      p.cases.listed(h->list), p.knowledge.listed(h->list);
       event = h->list;
     }
+    if (auto* c = std::get_if<CacheSaid>(&r.what)) cache_said(p, *c);
     if (event) feed(p, now, *event);
     else carry_out(p);
     if (!about) return;
     p.cases.tidy(*about);
     carry_out(p);
-    if (!p.cases.has(*about)) p.open.erase(*about);
+    if (!p.cases.has(*about)) p.open.erase(*about), p.knowledge.over(*about);
+  }
+
+  static void cache_said(PoolParts& p, CacheSaid& c) {
+    if (!c.word) return p.knowledge.unheard(c.engine);
+    if (auto* whole = std::get_if<engines::CacheWhole>(&*c.word))
+      p.knowledge.synced(c.engine, whole->number, whole->chains);
+    else if (!p.knowledge.heard(c.engine, std::get<prefix::CacheEvent>(*c.word))) *c.again = true;
   }
 
   void feed(PoolParts& p, Instant now, const Event& first) {
@@ -385,7 +420,7 @@
         if (it == p.open.end()) continue;
         it->second.ticket->answer(
             {f->shed ? Final::How::Shed : Final::How::Errored, f->retry_after, f->outcome_unknown, 0, {}});
-        if (!p.cases.has(f->inf)) p.open.erase(it);
+        if (!p.cases.has(f->inf)) p.open.erase(it), p.knowledge.over(f->inf);
       } else if (const auto* t = std::get_if<ArmTimer>(&order)) {
         p.timers.emplace(now + t->in, t->token);
       } else if (const auto* d = std::get_if<DropLinks>(&order)) {
@@ -463,6 +498,7 @@
     control.detach();
     const auto judged = engines::judge(s.leg, facts);
     ending.as = judged.as, ending.no_state = judged.no_state;
+    ending.refused_link = facts.connect == SendFacts::Connect::Refused;
     if (s.leg != Leg::Read && proves_unrun(judged.as)) ticket.write_unrun();
     if (judged.refused)
       ending.answered = ticket.answer({Final::How::Refused, Span{}, false, facts.status, refusal_of(ending)});
@@ -517,6 +553,7 @@
     facts.understood = answer.has_value();
     if (!answer) return;
     ending.state = answer->state;
+    ending.kept_told = answer->kept_told;
     ending.kept_tokens = static_cast<std::uint32_t>(std::min(answer->usage.kept_tokens, 4e9));
     ticket.learn(answer->usage);
     const std::lock_guard lock(meter_mutex);
@@ -629,10 +666,68 @@
                    {{"pool", p.settings.name},
                     {"version", static_cast<std::int64_t>(followed.listed->version)},
                     {"lines", static_cast<std::int64_t>(followed.listed->entries.size())}});
+    follow_caches(p, *followed.listed);
     queue.put({index, Heard{std::move(*followed.listed)}});
     p.heard = true;
   }
 
+  // A thread for each engine that sends cache events, while it is listed.
+  void follow_caches(PoolParts& p, const FleetListed& list) {
+    for (const auto& e : list.entries) {
+      const bool wanted = e.lifecycle != Lifecycle::Gone && e.kind < p.settings.kinds.size() &&
+                          p.settings.kinds[e.kind].cache_events && p.settings.index_blocks > 0;
+      auto& stop = p.streams[e.engine];
+      if (!wanted && stop) *stop = true, stop.reset();
+      if (!wanted || stop) continue;
+      stop = std::make_shared<std::atomic<bool>>(false);
+      ++cache_threads;
+      if (!net::start_thread(settings.stack, [this, &p, id = e.engine, over = stop] {
+            follow_cache(p, id, *over), --cache_threads;
+          }))
+        --cache_threads, stop.reset();
+    }
+  }
+
+  void follow_cache(PoolParts& p, const EngineId& id, const std::atomic<bool>& over) {
+    const auto again = std::make_shared<std::atomic<bool>>(false);
+    while (!stopping && !over) {
+      const auto at = p.book.find(id);
+      auto [how, stream] = at ? net::Stream::connect(*at, clock_now() + p.settings.connect)
+                              : std::pair{net::ConnectEnd::Unreachable, net::Stream{}};
+      if (how == net::ConnectEnd::Connected) {
+        http::ClientConnection link(std::move(stream));
+        http::Response head;
+        const Instant until = clock_now() + Span::millis(2000);
+        if (link.ask("GET", "/calicograde/v1/cache",
+                     {{"host", settings.name}, {"accept", "text/event-stream"}}, "", until) &&
+            link.read_head(head, until) == BodyEnd::Done && head.status == 200)
+          read_cache(p, id, link, over, again);
+      }
+      queue.put({p.index, CacheSaid{id, std::nullopt, again}});
+      pause(cache_again);
+    }
+  }
+
+  void read_cache(PoolParts& p, const EngineId& id, http::ClientConnection& link,
+                  const std::atomic<bool>& over, const std::shared_ptr<std::atomic<bool>>& again) {
+    http::EventReader events(cache_bytes);
+    *again = false;
+    Instant last = clock_now();
+    while (!stopping && !over && !*again) {
+      std::string bytes;
+      std::vector<http::ServerEvent> ready;
+      const BodyEnd end = link.read_body(bytes, clock_now() + Span::millis(200));
+      if (!bytes.empty()) last = clock_now();
+      if (!events.feed(bytes, ready)) return;
+      for (const auto& e : ready) {
+        auto word = engines::parse_cache(e.data);
+        if (!word) return;  // nonsense: the whole is asked for anew
+        queue.put({p.index, CacheSaid{id, std::move(word), again}});
+      }
+      if ((end != BodyEnd::More && end != BodyEnd::TimedOut) || clock_now() - last > cache_silence) return;
+    }
+  }
+
   void follow_file(std::size_t index) {
     const auto& p = pools[index]->settings;
     std::pair<std::int64_t, std::int64_t> last{-1, -1};
@@ -718,6 +813,7 @@
   std::atomic<InfId> next_inf = 1;
   std::map<InfId, std::weak_ptr<Ticket>> tickets;
   std::vector<std::thread> threads;
+  std::atomic<int> cache_threads = 0;
 };
 
 Core::Core(const settings::Front& settings, log::Log& log)
@@ -728,6 +824,7 @@
   inside_->queue.close();
   inside_->paused.notify_all();
   for (auto& t : inside_->threads) t.join();
+  while (inside_->cache_threads > 0) usleep(1000);
   // Sends still out hold on to this core: they end by their own deadlines.
   for (const Workers* w : {&inside_->workers, &inside_->errands})
     while (w->idle() < w->count()) usleep(1000);
@@ -803,6 +900,17 @@
   inside_->keys.ended(route, key, ran, first, unsure);
 }
 
+std::shared_ptr<const prefix::Chain> Core::chain_of(std::size_t route, const Prompt& prompt) const {
+  const auto& pool = settings_.pools[settings_.routes[route].pool];
+  if (pool.index_blocks == 0) return nullptr;
+  prefix::Cutter cutter(pool.index_block);
+  // Two routes may be two models to the engines: their states are not each other's.
+  const auto& r = settings_.routes[route];
+  cutter.add((r.engine_model.empty() ? r.model : r.engine_model) + "\n");
+  cutter.add(engines::canonical_text(prompt));
+  return std::make_shared<const prefix::Chain>(cutter.chain());
+}
+
 double Core::estimate_tokens(std::size_t route, std::size_t bytes) const {
   const std::lock_guard lock(inside_->meter_mutex);
   return inside_->meter.estimate(settings_.routes[route].name, bytes);
--- a/src/front/core.hpp
+++ b/src/front/core.hpp
@@ -16,6 +16,7 @@
 #include "intake/intake.hpp"
 #include "log/log.hpp"
 #include "net/socket.hpp"
+#include "prefix/index.hpp"
 #include "settings/settings.hpp"
 
 // What all client protocols share: one thread owns the modules (one a pool) and is fed through a bounded
@@ -32,6 +33,7 @@
   std::shared_ptr<const Prompt> prompt;
   TextKey session = 0, shared_text = 0;
   double prompt_tokens = 0, shared_tokens = 0;
+  std::shared_ptr<const prefix::Chain> chain;  // of the prompt's blocks; null = the pool has no index
   std::size_t prompt_bytes = 0;
   Instant ends;            // of the client's budget
   std::string dedupe_key;  // passed on to engines; empty = none
@@ -145,6 +147,8 @@
   // the first time at `first`; `unsure`: with an effect whose repeat no engine drops.
   void key_over(const std::string& route, const std::string& key, bool ran, Instant first, bool unsure);
 
+  // The prompt's blocks by name; null where the route's pool has no index.
+  std::shared_ptr<const prefix::Chain> chain_of(std::size_t route, const Prompt& prompt) const;
   // Estimates, corrected by what engines report.
   double estimate_tokens(std::size_t route, std::size_t bytes) const;
 
--- a/src/front/messages_front.cpp
+++ b/src/front/messages_front.cpp
@@ -272,6 +272,7 @@
           std::min(a.prompt_tokens, a.prompt_tokens * static_cast<double>(m.call.opening.size()) /
                                         static_cast<double>(a.prompt_bytes));
     a.ends = m.rounds->ends();
+    a.chain = core_.chain_of(a.route, p);
     a.prompt = std::make_shared<const Prompt>(p);
     // A later round is another inference to the engines, but the client's key is the message's.
     a.key_taken = round > 0;
--- a/src/front/tool_calls.cpp
+++ b/src/front/tool_calls.cpp
@@ -205,6 +205,7 @@
     asked.shared_tokens = asked.prompt_tokens * static_cast<double>(prompt.system.size()) /
                           static_cast<double>(asked.prompt_bytes);
   asked.ends = std::min(order.ends, clock_now() + route.timeout);
+  asked.chain = core_.chain_of(tool.route, prompt);
   asked.prompt = std::make_shared<const Prompt>(std::move(prompt));
   const Answering::Terms terms{asked.ends, false, false, -1};
   Answering answering(core_);
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -180,6 +180,8 @@
     } else if (t.kind == "fast_errors") {
       set(
           e, [t](Faults& f) { f.failing = t.size; }, [](Faults& f) { f.failing = 0; });
+    } else if (t.kind == "cache_event_lost") {
+      e->set([](Faults& f) { f.lose_event = true; });
     } else if (t.kind == "flush") {
       e->set([](Faults& f) { f.forget = true; });
     } else if (t.kind == "origin_slow") {
--- a/src/lab/engine_standin.cpp
+++ b/src/lab/engine_standin.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::size_t block_bytes = 256, blocks_kept = 200000, stack = 128 << 10;
+constexpr std::size_t block_bytes = 256, blocks_kept = 200000, events_kept = 10000, stack = 128 << 10;
 constexpr Span state_life = Span::millis(30000), tombstone_life = Span::millis(10000);
 constexpr double near_tokens_per_s = 300000;
 
@@ -29,6 +29,7 @@
   int answer_tokens = 1, round = 0;
   bool read = false;
   std::vector<std::string> calls;  // of tools, that the answer ends with
+  prefix::Chain chain;
 };
 
 namespace {
@@ -95,7 +96,7 @@
 void EngineStandin::set(const std::function<void(Faults&)>& change) {
   const std::lock_guard lock(mutex_);
   change(faults_);
-  if (std::exchange(faults_.forget, false)) kept_.clear();
+  if (std::exchange(faults_.forget, false)) forget_kept();
 }
 
 void EngineStandin::note(const std::string& what, const std::string& name, const std::string& mark,
@@ -110,7 +111,8 @@
     faults_ = {}, faults_.down = true;
     ++life_;
     for (const auto& [name, h] : held_) note("unheld", name, "", "lost");
-    held_.clear(), kept_.clear(), arrivals_.clear();
+    held_.clear(), kept_.clear(), chains_.clear(), told_.clear(), arrivals_.clear();
+    next_event_ = 0;
     note("down", "", "", "crash");
   }
   listener_->stop();
@@ -249,20 +251,55 @@
   return cold_ && capacity() < 1 && static_cast<double>(arrivals_.size()) > most;
 }
 
-double EngineStandin::find_kept(const std::string& text, double tokens) {
+double EngineStandin::find_kept(const prefix::Chain& chain, double tokens) {
   const std::lock_guard lock(mutex_);
-  std::uint64_t chain = 1469598103934665603ULL;
+  using What = prefix::CacheEvent::What;
+  if (kept_.size() > blocks_kept) forget_kept();
   std::size_t found = 0;
-  bool all = true;
-  if (kept_.size() > blocks_kept) kept_.clear();
-  for (std::size_t at = 0; at + block_bytes <= text.size(); at += block_bytes) {
-    for (std::size_t k = at; k < at + block_bytes; ++k)
-      chain = (chain ^ static_cast<unsigned char>(text[k])) * 1099511628211ULL;
-    all = all && kept_.contains(chain);
-    if (all) found = at + block_bytes;
-    kept_.insert(chain);
+  while (found < chain.size() && kept_.contains(chain[found])) ++found;
+  if (found < chain.size()) {
+    kept_.insert(chain.begin() + static_cast<std::ptrdiff_t>(found), chain.end()), chains_.push_back(chain);
+    tell(What::Stored, found == 0 ? 0 : chain[found - 1],
+         {chain.begin() + static_cast<std::ptrdiff_t>(found), chain.end()});
   }
-  return text.empty() ? 0 : tokens * static_cast<double>(found) / static_cast<double>(text.size());
+  return chain.empty() ? 0 : tokens * static_cast<double>(found) / static_cast<double>(chain.size());
+}
+
+void EngineStandin::forget_kept() {
+  kept_.clear(), chains_.clear();
+  tell(prefix::CacheEvent::What::Cleared, 0, {});
+}
+
+void EngineStandin::tell(prefix::CacheEvent::What what, prefix::BlockName after, prefix::Chain blocks) {
+  // One is lost on its way: its number is used up.
+  if (std::exchange(faults_.lose_event, false)) return void(++next_event_);
+  told_.push_back({next_event_++, what, after, std::move(blocks)});
+  if (told_.size() > events_kept) told_.pop_front();
+}
+
+bool EngineStandin::stream_cache(http::ServerConnection& c, int life) {
+  if (!options_.cache_events) return respond(c, 404, "{}");
+  if (!c.begin_stream(200, {{"content-type", "text/event-stream"}})) return false;
+  std::uint64_t next = 0;
+  std::string out;
+  {
+    const std::lock_guard lock(mutex_);
+    next = next_event_;
+    out = http::event_text("", engines::text_of(engines::CacheWhole{next, chains_}));
+  }
+  for (Instant wrote = clock_now(); c.piece(out);) {
+    if (!wait(c, clock_now() + Span::millis(2), life)) return false;
+    out.clear();
+    {
+      const std::lock_guard lock(mutex_);
+      for (const auto& e : told_)
+        if (e.number >= next)
+          out += http::event_text("", engines::text_of(engines::CacheWord(e))), next = e.number + 1;
+    }
+    if (!out.empty()) wrote = clock_now();
+    if (clock_now() - wrote > Span::millis(2000)) out = ": alive\n\n", wrote = clock_now();
+  }
+  return false;
 }
 
 bool EngineStandin::answer(const http::Request& request, http::ServerConnection& c, int life, Instant came) {
@@ -280,6 +317,7 @@
                       hold(name, j.value("prompt_tokens", 0.0) + j.value("max_tokens", 0.0) / 2, true);
     return respond(c, 200, held ? "{\"held\":true}" : "{\"held\":false}");
   }
+  if (request.target == "/calicograde/v1/cache") return stream_cache(c, life);
   if (request.target == "/standin/fetch") {
     const bool got = unhold(name, "taken");
     return respond(c, got ? 200 : 404, "{}");
@@ -299,6 +337,9 @@
   if (!j.contains("tools")) a.calls.clear();
   // Each round of a message is an inference of its own.
   if (a.round > 0 && !a.mark.empty()) a.mark += "#" + std::to_string(a.round);
+  prefix::Cutter cutter(block_bytes);
+  cutter.add(j.value("model", "") + "\n"), cutter.add(engines::canonical_text(request.body));
+  a.chain = cutter.chain();
   a.model = j.value("model", ""), a.answer_tokens = j.value("max_tokens", 1),
   a.key = http::header(request.headers, "idempotency-key");
   a.place = j.value("calicograde_place", "");
@@ -331,7 +372,7 @@
   double kept = 0;
   const double slow = faults().slow;
   bool full = false;
-  if (const double n = find_kept(a.text, a.tokens); n > 0) kept = n;
+  kept = find_kept(a.chain, a.tokens);
   {
     const std::lock_guard lock(mutex_);
     full = reading_ >= options_.slots + options_.queue;
--- a/src/lab/engine_standin.hpp
+++ b/src/lab/engine_standin.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -17,6 +18,7 @@
 #include "http/http.hpp"
 #include "lab/record.hpp"
 #include "net/socket.hpp"
+#include "prefix/index.hpp"
 
 namespace calicograde::lab {
 
@@ -35,14 +37,14 @@
   Span token = Span::millis(10), first_token;  // first_token: zero = as the others
   double cold_from = 0.25, fall_multiple = 2.5;
   Span cold = Span::millis(12000), fall = Span::millis(1500);
-  bool release = true, places = false, reports = false;
+  bool release = true, places = false, reports = false, cache_events = false;
   std::uint64_t seed = 1;
 };
 
 // What is wrong with an engine just now.
 struct Faults {
-  bool down = false, vanished = false, hung = false, forget = false, garbage = false, cut = false,
-       stale_reports = false;
+  bool down = false, vanished = false, hung = false, forget = false, lose_event = false, garbage = false,
+       cut = false, stale_reports = false;
   double slow = 1, link_slow = 1, failing = 0;
   Span handshake;         // before a connection is served
   std::string closed_to;  // a model that is told "full"
@@ -86,7 +88,10 @@
   double held_tokens();
   double capacity();  // share of the warm one; under the lock
   bool pushed_over();
-  double find_kept(const std::string& text, double tokens);
+  double find_kept(const prefix::Chain& chain, double tokens);
+  void forget_kept();  // under the lock
+  void tell(prefix::CacheEvent::What what, prefix::BlockName after, prefix::Chain blocks);
+  bool stream_cache(http::ServerConnection& c, int life);
   void note(const std::string& what, const std::string& name, const std::string& mark, const std::string& how,
             double number = 0, std::optional<Instant> at = {});
   Faults faults();
@@ -106,7 +111,10 @@
   bool cold_ = false;
   std::map<std::string, Held> held_;
   std::map<std::string, Instant> released_early_;
-  std::set<std::uint64_t> kept_;
+  std::set<prefix::BlockName> kept_;
+  std::vector<prefix::Chain> chains_;    // that are kept, for who asks for the whole
+  std::deque<prefix::CacheEvent> told_;  // the last cache events
+  std::uint64_t next_event_ = 0;
   std::list<Instant> arrivals_;
   Instant reading_until_;
   int reading_ = 0, writing_ = 0, waiting_ = 0;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <nlohmann/json.hpp>
 
+#include "emulator/experiment.hpp"
 #include "lab/client.hpp"
 #include "lab/day.hpp"
 #include "lab/measure.hpp"
@@ -131,6 +132,19 @@
   return worst;
 }
 
+int experiment(const std::string& file, const std::string& folder, int threads, bool only_report) {
+  std::vector<settings::Fault> faults;
+  const auto text = settings::read_file(file, faults);
+  const auto e = text ? emulator::read_experiment(file, *text, faults) : std::nullopt;
+  for (const auto& f : faults) std::fprintf(stderr, "%s\n", settings::text_of(f).c_str());
+  if (!e) return 2;
+  if (!only_report) emulator::play(*e, folder, threads);
+  if (emulator::report(*e, folder)) return 0;
+  std::fprintf(stderr, "%s: a run is missing under %s/runs; play the experiment first\n", file.c_str(),
+               folder.c_str());
+  return 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -175,6 +189,16 @@
   measure_cmd->add_option("--hold", measured.hold, "hold so many streams open at once instead")
       ->check(CLI::Range(0, 100000));
   measure_cmd->add_option("--daemon", daemon, "calicograded to start");
+  std::string out_folder = "experiment";
+  int threads = 2;
+  bool only_report = false;
+  auto* experiment_cmd = app.add_subcommand(
+      "experiment",
+      "play an experiment in simulated time, or go on with it; tables and charts of what is kept");
+  experiment_cmd->add_option("FILE", file, "the experiment, XML")->required();
+  experiment_cmd->add_option("--out", out_folder, "folder of the runs, tables and charts");
+  experiment_cmd->add_option("--threads", threads, "runs at a time")->check(CLI::Range(1, 256));
+  experiment_cmd->add_flag("--report", only_report, "tables and charts only, from runs kept before");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -198,6 +222,7 @@
       const Folder folder;
       return lab::measure(measured, daemon, folder.path());
     }
+    if (*experiment_cmd) return experiment(file, out_folder, threads, only_report);
     const auto plan = plan_of(file);
     if (!plan) return 2;
     if (*up_cmd) return up(*plan, daemon, signals.get());
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -71,6 +71,7 @@
       o.read_per_s = e->number("read-per-s", o.read_per_s);
       o.token = e->time("token", o.token), o.rate = e->number("rate", o.rate);
       o.places = e->flag("places", false), o.reports = e->flag("reports", false);
+      o.cache_events = e->flag("cache-events", false);
       o.cold_from = p.rules.cold_from, o.fall_multiple = p.rules.fall_multiple, o.cold = p.rules.cold,
       o.fall = p.rules.fall;
       o.seed = p.seed * 1000 + p.engines.size();
@@ -166,7 +167,8 @@
     if (kinds.insert(e.kind).second)
       out += "    <kind name=\"" + e.kind + "\" stage=\"" + word(stages, e.stage) + "\" memory-tokens=\"" +
              std::to_string(static_cast<long>(e.memory_tokens)) + "\" release=\"true\" places=\"" +
-             (e.places ? "true" : "false") + "\" reports=\"" + (e.reports ? "true" : "false") + "\"/>\n";
+             (e.places ? "true" : "false") + "\" reports=\"" + (e.reports ? "true" : "false") +
+             "\" cache-events=\"" + (e.cache_events ? "true" : "false") + "\"/>\n";
   char figures[96];
   std::snprintf(figures, sizeof figures, "cold-from=\"%.3f\" fall-multiple=\"%.3f\"", p.rules.cold_from,
                 p.rules.fall_multiple);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -460,7 +460,7 @@
   // What of the prompt this reader should not have kept. A session's turns come in through many fronts: they
   // agree without talking on the reader where its texts are looked for, while the table knows nothing.
   double to_read(const Inference& f, const Engine& e) const {
-    const double found = f.home == e.entry.engine ? found_at_home(f) : 0;
+    const double found = f.home == e.entry.engine && !f.what.kept_surely ? found_at_home(f) : 0;
     return std::max(0.0, f.what.prompt_tokens - std::max(found, known(f, e)));
   }
 
@@ -469,6 +469,10 @@
   }
 
   double known(const Inference& f, const Engine& e) const {
+    if (f.what.kept) {  // an index knows every prompt, the table two keys of each
+      const auto it = f.what.kept->find(e.entry.engine);
+      return it == f.what.kept->end() ? 0 : std::min(it->second, f.what.prompt_tokens);
+    }
     return std::max(knows(e, f.what.session, f.what.prompt_tokens),
                     knows(e, f.what.shared_text, f.what.shared_tokens));
   }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -133,8 +133,8 @@
       kind.memory_tokens = k->number("memory-tokens", 0);
       reads |= kind.stage != Stage::Write, writes |= kind.stage != Stage::Read;
       s.kinds.push_back(kind);
-      out.kinds.push_back(
-          {k->text("name"), k->flag("release", false), k->flag("places", false), k->flag("reports", false)});
+      out.kinds.push_back({k->text("name"), k->flag("release", false), k->flag("places", false),
+                           k->flag("reports", false), k->flag("cache-events", false)});
       if (kind.stage == Stage::Read && k->flag("places", false))
         fault(*k, "kind '" + k->text("name") + "' only reads, yet offers places",
               "places are held at writers: drop places");
@@ -150,6 +150,14 @@
       if (server && !out.roster_server) fault(*r, "'" + *server + "' is no address", "write HOST:PORT");
       if (out.roster_every < Span::millis(10)) fault(*r, "every is under 10ms", "give 10ms or more");
     }
+    if (const auto* i = e.child("index")) {
+      out.index_block = i->size("block", out.index_block);
+      out.index_blocks = count(*i, "blocks", out.index_blocks, 1e8);
+      out.index_engines = count(*i, "engines", out.index_engines, 60000);
+      if (out.index_block < 16 || out.index_block > (64 << 10))
+        fault(*i, "a block of " + i->text("block") + " is no use",
+              "give 16B to 64KiB, as engines that send cache events have it");
+    }
     const Element none;
     const Element* rules = e.child("rules");
     if (!rules) rules = &none;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -16,7 +16,7 @@
 // What an engine of a kind offers beside the public calls (docs/front.md, "The extension").
 struct KindOffers {
   std::string name;
-  bool release = false, places = false, reports = false;
+  bool release = false, places = false, reports = false, cache_events = false;
 };
 
 struct Pool {
@@ -27,6 +27,8 @@
   std::string roster_file;
   Span roster_every = Span::millis(500);
   Span connect = Span::millis(250);
+  // The index of prompts: bytes of a block, blocks kept in all (0 = no index), engines that it knows of.
+  std::size_t index_block = 256, index_blocks = 1000000, index_engines = 1024;
 };
 
 struct Route {
