Halls judged lost and let in again in stages; two crashes found by fuzzing

libFuzzer, 760,000 executions: a number such as 8e388 in a message's body ended the front, and a roster without a version was read as a number that fits no counter. Both mended with tests; an exception of one request now ends its connection only. The experiment tool keyed runs by names alone and took another experiment's: keyed by all that they depend on now.

--- a/src/emulator/experiment.cpp
+++ b/src/emulator/experiment.cpp
@@ -2,12 +2,16 @@
 
 #include <hdf5.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <atomic>
 #include <boost/math/distributions/students_t.hpp>
 #include <cmath>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <mutex>
@@ -27,8 +31,26 @@
                                             {"events", Knows::Events},
                                             {"perfect", Knows::Perfect}};
 
-std::string run_file(const std::string& folder, const Arm& a, const NamedLoad& l, int seed) {
-  return folder + "/runs/" + a.name + "." + l.name + "." + std::to_string(seed) + ".h5";
+// Where a run is kept: by all that it depends on, so that a file that was changed, or another experiment with
+// the same names, finds no run that is not its own (found when one took the other's runs).
+std::string run_file(const std::string& folder, const Experiment& e, const Arm& a, const NamedLoad& l,
+                     int seed) {
+  const WorldShape& w = a.world;
+  const LoadShape& s = l.load;
+  char all[512];
+  std::snprintf(
+      all, sizeof all,
+      "%d %d %d %d %d %d %d %d %.0f %.0f %.0f %zu %zu %.0f %.0f %.0f %.0f %g %g %g %zu %g %g %g %g %g %g %g",
+      w.readers, w.writers, w.fronts, w.racks, static_cast<int>(w.knows), w.restarts, w.halls, w.judge_halls,
+      w.lost_at.as_millis(), w.lost_for.as_millis(), w.told_late.as_millis(), w.index_blocks, w.memory_blocks,
+      w.length.as_millis(), w.warm_up.as_millis(), w.first_token_target.as_millis(), w.timeout.as_millis(),
+      s.sessions_a_s, s.turns, s.think_s, s.openings, s.zipf, s.opening_tokens, s.turn_tokens,
+      s.answer_tokens, s.spread, s.burst, s.burst_s);
+  char digest[20];
+  std::snprintf(digest, sizeof digest, "%016llx",
+                static_cast<unsigned long long>(XXH3_64bits(all, std::strlen(all))));
+  return folder + "/" + e.name + ".runs/" + a.name + "." + l.name + "." + std::to_string(seed) + "." +
+         digest + ".h5";
 }
 
 // A column a figure. The library is not made for threads: one at a time.
@@ -36,8 +58,8 @@
   static std::mutex one;
   return one;
 }
-constexpr const char* columns[] = {"at_s",         "first_token_ms", "prompt_tokens",
-                                   "found_tokens", "best_tokens",    "outcome"};
+constexpr const char* columns[] = {"at_s",        "first_token_ms", "prompt_tokens", "found_tokens",
+                                   "best_tokens", "outcome",        "push"};
 
 void write_rows(const std::string& file, const std::vector<Row>& rows) {
   const std::lock_guard lock(hdf5());
@@ -46,11 +68,12 @@
   if (f < 0) throw std::runtime_error("cannot write " + fresh);
   const hsize_t n = rows.size();
   const hid_t space = H5Screate_simple(1, &n, nullptr);
-  for (int c = 0; c < 6; ++c) {
+  for (int c = 0; c < 7; ++c) {
     std::vector<double> v;
     for (const Row& r : rows) {
       const double of[] = {r.at_s,         r.first_token_ms, r.prompt_tokens,
-                           r.found_tokens, r.best_tokens,    static_cast<double>(r.outcome)};
+                           r.found_tokens, r.best_tokens,    static_cast<double>(r.outcome),
+                           r.push};
       v.push_back(of[c]);
     }
     const hid_t d = H5Dcreate2(f, columns[c], H5T_IEEE_F64LE, space, H5P_DEFAULT, H5P_DEFAULT, H5P_DEFAULT);
@@ -75,7 +98,7 @@
 
 // What one run came to.
 struct Figures {
-  double hit = 0, best = 0, p50 = 0, p99 = 0, late = 0, lost = 0;
+  double hit = 0, best = 0, p50 = 0, p99 = 0, late = 0, lost = 0, push = 0;
 };
 std::optional<Figures> figures_of(const std::string& file, double target_ms) {
   const std::lock_guard lock(hdf5());
@@ -84,7 +107,7 @@
   if (f < 0) return std::nullopt;
   const auto first = read_column(f, "first_token_ms"), asked = read_column(f, "prompt_tokens"),
              found = read_column(f, "found_tokens"), best = read_column(f, "best_tokens"),
-             outcome = read_column(f, "outcome");
+             outcome = read_column(f, "outcome"), push = read_column(f, "push");
   H5Fclose(f);
   Figures out;
   std::vector<double> answered;
@@ -94,6 +117,7 @@
     answered.push_back(first[k]), sum_asked += asked[k], sum_found += found[k], sum_best += best[k];
     late += first[k] > target_ms;
   }
+  for (const double p : push) out.push = std::max(out.push, p);
   const auto n = static_cast<double>(std::max<std::size_t>(1, outcome.size()));
   out.hit = sum_found / std::max(1.0, sum_asked), out.best = sum_best / std::max(1.0, sum_asked);
   out.p50 = quantile(answered, 0.5, 0), out.p99 = quantile(answered, 0.99, 0);
@@ -160,6 +184,10 @@
     w.writers = static_cast<int>(a->number("writers", w.writers)),
     w.fronts = static_cast<int>(a->number("fronts", w.fronts)),
     w.restarts = static_cast<int>(a->number("restarts", w.restarts));
+    w.halls = static_cast<int>(a->number("halls", w.halls)), w.judge_halls = a->flag("judge-halls", false);
+    w.racks = std::max(w.racks, w.halls);
+    w.lost_at = a->time("lost-at", w.lost_at), w.lost_for = a->time("lost-for", w.lost_for),
+    w.told_late = a->time("told-late", w.told_late);
     w.memory_blocks =
         static_cast<std::size_t>(a->number("memory-blocks", static_cast<double>(w.memory_blocks)));
     for (const auto& other : e.arms)
@@ -172,7 +200,7 @@
 }
 
 void play(const Experiment& e, const std::string& folder, int threads) {
-  fs::create_directories(folder + "/runs");
+  fs::create_directories(folder + "/" + e.name + ".runs");
   struct Run {
     const Arm* arm;
     const NamedLoad* load;
@@ -182,7 +210,7 @@
   for (const auto& l : e.loads)
     for (const auto& a : e.arms)
       for (int s = 1; s <= e.seeds; ++s)
-        if (!fs::exists(run_file(folder, a, l, s))) runs.push_back({&a, &l, s});
+        if (!fs::exists(run_file(folder, e, a, l, s))) runs.push_back({&a, &l, s});
   std::atomic<std::size_t> next = 0, done = 0;
   std::mutex telling;
   std::string failed;
@@ -193,7 +221,7 @@
         WorldShape w = runs[k].arm->world;
         w.load = runs[k].load->load, w.seed = static_cast<std::uint64_t>(runs[k].seed);
         try {
-          write_rows(run_file(folder, *runs[k].arm, *runs[k].load, runs[k].seed), simulate(w));
+          write_rows(run_file(folder, e, *runs[k].arm, *runs[k].load, runs[k].seed), simulate(w));
         } catch (const std::exception& problem) {
           const std::lock_guard lock(telling);
           failed = problem.what();
@@ -213,30 +241,32 @@
   std::ofstream md(folder + "/" + e.name + ".md");
   md << "# " << e.name << "\n\nSimulated by `calicograde-lab experiment`, " << e.seeds
      << " seeds; means with 95% intervals; differences are to `" << e.arms.front().name
-     << "`, paired by seed. Hit rate: tokens found kept / tokens asked. Lost: shed or errored.\n";
+     << "`, paired by seed. Hit rate: tokens found kept / tokens asked. Lost: shed or errored. Push: the "
+        "most sent to a cold engine in the window of rule 4, as a share of what it bears.\n";
   std::ofstream data(folder + "/" + e.name + ".dat");
   for (const auto& l : e.loads) {
     md << "\n## " << l.name
        << "\n\n| arm | hit rate | best possible | difference of hit rate | first token p50 ms | p99 ms "
-          "| difference of p99 ms | late % | lost % |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- "
+          "| difference of p99 ms | late % | lost % | push |\n| --- | --- | --- | --- | --- | --- | --- | "
+          "--- | --- "
           "|\n";
     std::vector<Figures> base;
     for (const auto& a : e.arms) {
-      std::vector<double> hit, best, p50, p99, late, lost, d_hit, d_p99;
+      std::vector<double> hit, best, p50, p99, late, lost, push, d_hit, d_p99;
       for (int s = 1; s <= e.seeds; ++s) {
-        const auto f = figures_of(run_file(folder, a, l, s), a.world.first_token_target.as_millis());
+        const auto f = figures_of(run_file(folder, e, a, l, s), a.world.first_token_target.as_millis());
         if (!f) return false;
         if (&a == &e.arms.front()) base.push_back(*f);
         const Figures& b = base[static_cast<std::size_t>(s - 1)];
         hit.push_back(f->hit), best.push_back(f->best), p50.push_back(f->p50), p99.push_back(f->p99);
-        late.push_back(f->late), lost.push_back(f->lost);
+        late.push_back(f->late), lost.push_back(f->lost), push.push_back(f->push);
         d_hit.push_back(f->hit - b.hit), d_p99.push_back(f->p99 - b.p99);
       }
       const auto h = between(hit), p = between(p99);
       md << "| " << a.name << " | " << text(h, "%.3f") << " | " << text(between(best), "%.3f") << " | "
          << text(between(d_hit), "%+.3f") << " | " << text(between(p50), "%.0f") << " | " << text(p, "%.0f")
          << " | " << text(between(d_p99), "%+.0f") << " | " << text(between(late), "%.2f", 100) << " | "
-         << text(between(lost), "%.2f", 100) << " |\n";
+         << text(between(lost), "%.2f", 100) << " | " << text(between(push), "%.2f") << " |\n";
       data << '"' << l.name << "\" \"" << a.name << "\" " << h.mean << ' ' << h.half << ' ' << p.mean << ' '
            << p.half << '\n';
     }
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "front/cases.hpp"
+#include "halls/halls.hpp"
 #include "prefix/knowledge.hpp"
 #include "routing/router.hpp"
 
@@ -17,6 +18,8 @@
 
 constexpr Span way = Span::micros(200), events_way = Span::millis(5), roster_way = Span::millis(300);
 constexpr double min_tokens = 64;
+constexpr Span fall = Span::millis(1500);
+constexpr double fall_multiple = 2.5, writes_a_second = 25;  // of a writer, about
 
 std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
   a = (a ^ b) * 0x9E3779B97F4A7C15ULL;
@@ -38,6 +41,10 @@
     for (int k = 0; k < s_.restarts; ++k)
       later(Instant::at(s_.warm_up + (s_.length - s_.warm_up) * ((k + 0.5) / s_.restarts)),
             [this, k] { restart(k % s_.readers); });
+    if (s_.lost_for > Span{}) later(Instant::at(s_.lost_at), [this] { lose_hall(); });
+    if (s_.judge_halls)
+      for (std::size_t f = 0; f < fronts_.size(); ++f)
+        later(Instant::at(Span::millis(static_cast<std::int64_t>(f) % 100)), [this, f] { hall_tick(f); });
     const Instant end = Instant::at(s_.length + s_.timeout);
     while (!todo_.empty() && todo_.top().at <= end) {
       const Todo next = todo_.top();
@@ -59,13 +66,16 @@
     bool operator<(const Todo& o) const { return std::pair{o.at, o.order} < std::pair{at, order}; }
   };
   struct Front {
-    Front(std::uint64_t seed, const Settings& settings, const prefix::Limits& limits, bool tell)
+    Front(std::uint64_t seed, const Settings& settings, const prefix::Limits& limits, bool tell,
+          const halls::Rules& rules)
         : router(seed, settings),
           cases("f" + std::to_string(seed), settings),
-          knowledge(limits, settings.kinds, {tell, false}) {}
+          knowledge(limits, settings.kinds, {tell, false}),
+          halls(rules, std::vector<std::string>(static_cast<std::size_t>(8), "hall"), 0, seed) {}
     Router router;
     front::Cases cases;
     prefix::Knowledge knowledge;
+    halls::Halls halls;
   };
   struct Box {
     Engine engine;
@@ -74,6 +84,8 @@
     std::uint64_t life = 0;
     std::optional<Instant> wakes;
     std::optional<Instant> started;
+    bool down = false;
+    std::deque<Instant> sends;  // in the window of rule 4
   };
   struct Sent {
     std::size_t front = 0;
@@ -114,12 +126,16 @@
                         k < s_.readers,
                         0,
                         {},
+                        {},
+                        false,
                         {}});
       by_id_[boxes_.back().id] = boxes_.size() - 1;
     }
+    halls::Rules rules;
+    rules.on = s_.judge_halls;
     for (int k = 0; k < s_.fronts; ++k) {
       fronts_.push_back(std::make_unique<Front>(s_.seed * 1000 + static_cast<std::uint64_t>(k), settings,
-                                                limits, s_.knows == Knows::Events));
+                                                limits, s_.knows == Knows::Events, rules));
       fronts_.back()->cases.offers({true, true});
       tell_list(static_cast<std::size_t>(k));
     }
@@ -135,13 +151,50 @@
       EngineEntry e;
       e.engine = boxes_[k].id, e.kind = boxes_[k].reads ? 0 : 1, e.started = boxes_[k].started;
       e.rack = static_cast<std::uint16_t>(k % static_cast<std::size_t>(s_.racks));
+      e.zone = hall_of(k);
       list.entries.push_back(e);
     }
-    fronts_[f]->cases.listed(list), fronts_[f]->knowledge.listed(list);
-    feed(f, list);
+    judge(f, fronts_[f]->halls.listed(now_, list));
+  }
+  std::uint8_t hall_of(std::size_t k) const {
+    return static_cast<std::uint8_t>(k % static_cast<std::size_t>(s_.halls));
+  }
+
+  void judge(std::size_t f, const std::vector<halls::Step>& steps) {
+    for (const auto& step : steps) {
+      if (const auto* t = std::get_if<halls::Tell>(&step)) {
+        fronts_[f]->cases.listed(t->list), fronts_[f]->knowledge.listed(t->list);
+        feed(f, t->list);
+      } else if (const auto* l = std::get_if<halls::Look>(&step)) {
+        later(now_ + way, [this, f, id = l->engine] {
+          const bool down = boxes_[by_id_.at(id)].down;
+          judge(f, fronts_[f]->halls.met(now_, id, down ? halls::Sign::Refused : halls::Sign::Answered));
+        });
+      }
+    }
+  }
+  void hall_tick(std::size_t f) {
+    judge(f, fronts_[f]->halls.tick(now_));
+    if (now_ - Instant{} < s_.length) later(now_ + Span::millis(100), [this, f] { hall_tick(f); });
+  }
+
+  // The whole hall goes dark at once, and the roster says nothing of it; it comes back cold, which each front
+  // hears at another time.
+  void lose_hall() {
+    const auto hall = static_cast<std::uint8_t>(s_.halls - 1);
+    for (std::size_t k = 0; k < boxes_.size(); ++k)
+      if (hall_of(k) == hall) boxes_[k].down = true, restart(static_cast<int>(k), false);
+    later(now_ + s_.lost_for, [this, hall] {
+      for (std::size_t k = 0; k < boxes_.size(); ++k)
+        if (hall_of(k) == hall)
+          boxes_[k].down = false, boxes_[k].started = now_, boxes_[k].engine.restart(now_);
+      for (std::size_t f = 0; f < fronts_.size(); ++f)
+        later(now_ + s_.told_late * (static_cast<double>(f + 1) / static_cast<double>(fronts_.size())),
+              [this, f] { tell_list(f); });
+    });
   }
 
-  void restart(int k) {
+  void restart(int k, bool told = true) {
     Box& b = boxes_[static_cast<std::size_t>(k)];
     ++b.life, b.started = now_, b.wakes.reset();
     b.engine.restart(now_);
@@ -151,7 +204,8 @@
       if (it->second.box == static_cast<std::size_t>(k)) lost.push_back(it->second), it = sent_.erase(it);
       else ++it;
     for (const Sent& s : lost) ended(s, EndedAs::Reset);
-    for (std::size_t f = 0; f < fronts_.size(); ++f) later(now_ + roster_way, [this, f] { tell_list(f); });
+    for (std::size_t f = 0; told && f < fronts_.size(); ++f)
+      later(now_ + roster_way, [this, f] { tell_list(f); });
   }
 
   // ---- load
@@ -238,8 +292,14 @@
             inf.answer_tokens, s->state.empty() ? 0 : std::stoull(s->state)};
       sent_[job] = sent, jobs_[s->name] = job;
       state_box_[job] = box;
+      rows_[s->inf].push = std::max(rows_[s->inf].push, pushed(boxes_[box]));
       later(now_ + way, [this, job, j, box] {
         if (!sent_.contains(job)) return;
+        if (boxes_[box].down) {
+          const Sent gone = sent_.at(job);
+          sent_.erase(job);
+          return ended(gone, EndedAs::ConnectFailed);
+        }
         boxes_[box].engine.submit(now_, j), listen(box);
       });
       later(s->until, [this, job] {
@@ -273,8 +333,27 @@
     }
   }
 
+  // What an engine bears: the multiple of what it can do just now, and three more.
+  double pushed(Box& b) {
+    const Shape& shape = b.engine.shape();
+    b.sends.push_back(now_);
+    while (now_ - b.sends.front() > fall) b.sends.pop_front();
+    if (!b.started || now_ - *b.started >= shape.cold) return 0;
+    const double share = shape.cold_from + (1 - shape.cold_from) * ((now_ - *b.started) / shape.cold);
+    const double a_second =
+        b.reads ? 1e6 / shape.read_us / std::max(64.0, unread_ / std::max(1.0, reads_)) : writes_a_second;
+    return static_cast<double>(b.sends.size()) / (fall_multiple * share * a_second * fall.seconds() + 3);
+  }
+
   void ended(const Sent& s, EndedAs as, std::string state = {}, std::uint32_t found = 0,
              bool no_state = false) {
+    using H = halls::Sign;
+    if (as != EndedAs::Cancelled && as != EndedAs::Moot)
+      judge(s.front,
+            fronts_[s.front]->halls.met(now_, boxes_[s.box].id,
+                                        as == EndedAs::ConnectFailed                      ? H::Refused
+                                        : as == EndedAs::Reset || as == EndedAs::TimedOut ? H::Broken
+                                                                                          : H::Answered));
     front::Ending e;
     e.as = as, e.state = std::move(state), e.kept_tokens = found, e.no_state = no_state;
     if (auto event = fronts_[s.front]->cases.ended(now_, s.inf, s.send, e)) feed(s.front, *event);
@@ -327,6 +406,7 @@
     if (s.leg != engines::Leg::Read) return;
     sent_.erase(it);
     const auto found = d.found * 64u;
+    unread_ += static_cast<double>(infs_.at(s.inf).chain->size()) * 64 - found, ++reads_;
     Row& row = rows_[s.inf];
     if (row.first_token_ms == 0) row.found_tokens = found;
     later(now_ + way, [this, s, found, job = d.job] {
@@ -394,6 +474,7 @@
   std::set<JobId> started_;
   std::map<std::string, JobId> jobs_;
   std::map<JobId, std::size_t> state_box_;
+  double unread_ = 0, reads_ = 0;
   InfId next_inf_ = 1;
   JobId next_job_ = 1;
 };
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -34,9 +34,23 @@
 constexpr Span roster_silence = Span::millis(30000);
 constexpr std::size_t keys_kept = 65536;
 constexpr std::size_t cache_bytes = 64 << 20;  // of one event of an engine's cache
+constexpr Span halls_every = Span::millis(100);
 constexpr Span cache_again = Span::millis(500), cache_silence = Span::millis(10000);
 constexpr std::size_t errand_threads = 64, errands_waiting = 65536;
 
+// What a send's end says of its engine's hall. Silence counts where not even a connection came about: a hall
+// that is merely slow still accepts them.
+halls::Sign sign_of(EndedAs as, bool refused_link) {
+  switch (as) {
+    case EndedAs::Completed:
+    case EndedAs::ReadDone:
+    case EndedAs::Full:
+    case EndedAs::Errored: return halls::Sign::Answered;
+    case EndedAs::ConnectFailed: return refused_link ? halls::Sign::Refused : halls::Sign::Silent;
+    default: return halls::Sign::Broken;
+  }
+}
+
 const char* word(EndedAs as) {
   switch (as) {
     case EndedAs::Completed: return "completed";
@@ -136,9 +150,13 @@
   std::optional<engines::CacheWord> word;    // none = the stream is lost
   std::shared_ptr<std::atomic<bool>> again;  // raised where the whole is wanted anew
 };
+struct Looked {
+  EngineId engine;
+  halls::Sign sign = halls::Sign::Silent;
+};
 struct Report {
   std::size_t pool = 0;
-  std::variant<Taken, Started, Ended, PlaceSaid, Gone, Heard, CacheSaid> what;
+  std::variant<Taken, Started, Ended, PlaceSaid, Gone, Heard, CacheSaid, Looked> what;
 };
 
 }  // namespace
@@ -254,7 +272,8 @@
   struct PoolParts {
     PoolParts(std::size_t number, const settings::Pool& p, const std::string& name, std::uint64_t seed,
               const std::vector<std::string>& zones)
-        : index(number),
+        : halls(p.halls, zones, p.routing.zone, seed),
+          index(number),
           settings(p),
           router(seed, p.routing),
           cases(name, p.routing),
@@ -275,6 +294,7 @@
       for (const auto& k : p.kinds) out.push_back(k.name);
       return out;
     }
+    halls::Halls halls;  // the owner's alone
     const std::size_t index;
     const settings::Pool& settings;
     Router router;  // the owner's alone, as the next four
@@ -309,7 +329,7 @@
   // -------------------------------------------------------------------------------
   void own() {
     while (!stopping) {
-      std::optional<Instant> next = clock_now() + Span::millis(500);
+      std::optional<Instant> next = clock_now() + halls_every;
       for (const auto& p : pools) {
         if (!p->timers.empty()) next = std::min(*next, p->timers.begin()->first);
         if (const auto end = p->cases.next_end()) next = std::min(*next, *end);
@@ -322,14 +342,44 @@
           p->timers.erase(p->timers.begin());
           feed(*p, now, TimerFired{token});
         }
+        if (now - halls_at >= halls_every) judge_halls(*p, now, p->halls.tick(now));
         std::vector<Event> events;
         p->cases.overdue(now, events);
         for (const Event& e : events) feed(*p, now, e);
         carry_out(*p);
       }
+      if (now - halls_at >= halls_every) halls_at = now;
     }
   }
 
+  // What is known of halls reaches the module as a list of engines.
+  void judge_halls(PoolParts& p, Instant now, const std::vector<halls::Step>& steps) {
+    for (const auto& step : steps) {
+      if (const auto* t = std::get_if<halls::Tell>(&step)) {
+        p.cases.listed(t->list), p.knowledge.listed(t->list);
+        feed(p, now, t->list);
+      } else if (const auto* l = std::get_if<halls::Look>(&step)) {
+        look(p, l->engine);
+      } else if (const auto* n = std::get_if<halls::Note>(&step)) {
+        core.log_.line(Level::Warn, "mode", {{"pool", p.settings.name}, {"what", n->text}});
+      }
+    }
+  }
+
+  // Whether anything listens at the engine; it is sent nothing.
+  void look(PoolParts& p, const EngineId& engine) {
+    errands.submit([this, &p, engine] {
+      const auto at = p.book.find(engine);
+      if (!at) return;
+      const auto how = net::Stream::connect(*at, clock_now() + p.settings.connect).first;
+      using N = net::ConnectEnd;
+      if (how == N::NoDescriptor) return;
+      queue.put({p.index, Looked{engine, how == N::Connected ? halls::Sign::Answered
+                                         : how == N::Refused ? halls::Sign::Refused
+                                                             : halls::Sign::Silent}});
+    });
+  }
+
   void take(PoolParts& p, Report& r) {
     const Instant now = clock_now();
     std::optional<Event> event;
@@ -342,6 +392,7 @@
       else t->ticket->answer({Final::How::Shed, Span{}, false, 0, {}});
     } else if (auto* s = std::get_if<Started>(&r.what)) {
       const auto engine = p.cases.engine_of(s->inf, s->send);
+      if (engine) judge_halls(p, now, p.halls.met(now, *engine, halls::Sign::Answered));
       // An engine that reads for itself has read it now; what it had kept it does not tell before the end.
       if (engine && p.cases.is_whole(s->inf, s->send)) p.knowledge.read(s->inf, *engine, std::nullopt);
       event = p.cases.started(now, s->inf, s->send);
@@ -349,6 +400,8 @@
       log_end(p, *e);
       if (const auto engine = p.cases.engine_of(e->inf, e->send)) {
         if (e->ending.refused_link) p.knowledge.refused(*engine);
+        if (e->ending.as != EndedAs::Cancelled && e->ending.as != EndedAs::Moot)
+          judge_halls(p, now, p.halls.met(now, *engine, sign_of(e->ending.as, e->ending.refused_link)));
         if (e->ending.as == EndedAs::ReadDone)
           p.knowledge.read(e->inf, *engine,
                            e->ending.kept_told ? std::optional<double>(e->ending.kept_tokens) : std::nullopt);
@@ -361,10 +414,11 @@
       event = p.cases.client_left(g->inf);
       about = g->inf;
     } else if (auto* h = std::get_if<Heard>(&r.what)) {
-      p.cases.listed(h->list), p.knowledge.listed(h->list);
-      event = h->list;
+      judge_halls(p, now, p.halls.listed(now, h->list));
     }
     if (auto* c = std::get_if<CacheSaid>(&r.what)) cache_said(p, *c);
+    if (const auto* l = std::get_if<Looked>(&r.what))
+      judge_halls(p, now, p.halls.met(now, l->engine, l->sign));
     if (event) feed(p, now, *event);
     else carry_out(p);
     if (!about) return;
@@ -814,6 +868,7 @@
   std::map<InfId, std::weak_ptr<Ticket>> tickets;
   std::vector<std::thread> threads;
   std::atomic<int> cache_threads = 0;
+  Instant halls_at;  // the owner's alone
 };
 
 Core::Core(const settings::Front& settings, log::Log& log)
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -103,7 +103,14 @@
       return connection.linger();
     }
     if (Protocol* p = protocol_for(request.target)) {
-      more = p->serve(request, visit) && request.keep_alive;
+      // The last guard: whatever goes wrong with one request ends its connection, never the front.
+      try {
+        more = p->serve(request, visit) && request.keep_alive;
+      } catch (const std::exception& problem) {
+        core_.log().line(log::Level::Error, "request failed",
+                         {{"request_id", visit.request_id}, {"what", problem.what()}});
+        return;
+      }
     } else {
       first->refuse(404, request.method + " " + request.target.substr(0, 200) + " is not served here", visit);
       more = false;
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -107,6 +107,7 @@
 std::string Town::ready_line() const {
   nlohmann::ordered_json j{{"fronts", nlohmann::json::array()}, {"pids", pids()}};
   for (const auto& a : fronts()) j["fronts"].push_back(net::text_of(a));
+  for (const auto& t : tool_servers_) j["tools"].push_back(net::text_of(t->address()));
   return j.dump();
 }
 
@@ -163,6 +164,16 @@
   }
   if (t.kind == "roster_gap") return roster_->lose_one();
   if (t.kind.starts_with("tool_")) return tool_trouble(t, chance);
+  if (t.kind == "hall_lost") {
+    // All of it at once, and the roster says nothing; its boxes come back cold.
+    for (const auto& e : engines_) {
+      if (e->options().zone != "hall-" + std::to_string(plan_.zones - 1) || e->is_down()) continue;
+      records_.add({clock_now(), "trouble", e->address(), {}, {}, t.kind, t.length.as_millis()});
+      e->crash();
+      later(t.length, [engine = e.get(), back] { back(engine); });
+    }
+    return;
+  }
   for (EngineStandin* e : choose(t, chance)) {
     records_.add({clock_now(), "trouble", e->address(), {}, {}, t.kind, t.length.as_millis()});
     if (t.kind == "crash" || t.kind == "mass_restart") {
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -140,7 +140,7 @@
   if (!e) return 2;
   if (!only_report) emulator::play(*e, folder, threads);
   if (emulator::report(*e, folder)) return 0;
-  std::fprintf(stderr, "%s: a run is missing under %s/runs; play the experiment first\n", file.c_str(),
+  std::fprintf(stderr, "%s: a run is missing under %s; play the experiment first\n", file.c_str(),
                folder.c_str());
   return 1;
 }
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -35,6 +35,8 @@
   if (it == j.end()) return absent;
   if (!it->is_number() || !std::isfinite(it->get<double>()) || it->get<double>() < 0)
     throw Wrong{where + ": '" + name + "' is no number of 0 or more"};
+  // Larger ones are no versions, ages or sizes, and could not be counted exactly.
+  if (it->get<double>() > 9e12) throw Wrong{where + ": '" + name + "' is too large"};
   return it->get<double>();
 }
 
@@ -59,8 +61,8 @@
   if (!j.is_object()) return std::string("is no JSON object");
   try {
     Document d;
-    d.version = static_cast<std::uint64_t>(number(j, "version", "the document", -1));
     if (!j.contains("version")) throw Wrong{"the document has no 'version'"};
+    d.version = static_cast<std::uint64_t>(number(j, "version", "the document", 0));
     const std::string scope = word(j, "scope", "the document", false);
     if (!scope.empty() && scope != "full" && scope != "delta")
       throw Wrong{"scope '" + scope + "' is neither full nor delta"};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -158,6 +158,17 @@
         fault(*i, "a block of " + i->text("block") + " is no use",
               "give 16B to 64KiB, as engines that send cache events have it");
     }
+    if (const auto* h = e.child("halls")) {
+      halls::Rules& r = out.halls;
+      r.on = h->flag("on", true), r.window = h->time("window", r.window);
+      r.lost_share = h->number("lost-share", r.lost_share), r.first_hold = h->time("hold", r.first_hold);
+      r.most_hold = h->time("hold-most", r.most_hold), r.stage = h->time("stage", r.stage);
+      if (r.lost_share <= 0 || r.lost_share > 1)
+        fault(*h, "lost-share is " + h->text("lost-share"), "give a share above 0, at most 1");
+      if (r.window <= Span{} || r.first_hold <= Span{} || r.stage <= Span{})
+        fault(*h, "window, hold or stage is 0", "every one needs a time above 0");
+      if (r.most_hold < r.first_hold) fault(*h, "hold-most is below hold", "raise hold-most");
+    }
     const Element none;
     const Element* rules = e.child("rules");
     if (!rules) rules = &none;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/types.hpp"
+#include "halls/halls.hpp"
 #include "http/http.hpp"
 #include "net/socket.hpp"
 #include "rounds/rounds.hpp"
@@ -27,7 +28,9 @@
   std::string roster_file;
   Span roster_every = Span::millis(500);
   Span connect = Span::millis(250);
-  // The index of prompts: bytes of a block, blocks kept in all (0 = no index), engines that it knows of.
+  // What a lost hall is; and the index of prompts: bytes of a block, blocks kept in all (0 = no index),
+  // engines that it knows of.
+  halls::Rules halls;
   std::size_t index_block = 256, index_blocks = 1000000, index_engines = 1024;
 };
 
--- a/tests/program/messages_test.cpp
+++ b/tests/program/messages_test.cpp
@@ -49,6 +49,8 @@
   for (const char* bad : {"", "[", "[]", "null", "7", "\"x\"", "{\"model\":7}", "{\"messages\":{}}"})
     refusal(bad);
   refusal(std::string(100000, '['));
+  refusal("8e388e3");  // found by the fuzzer: numbers that no double holds ended the process
+  refusal(with(R"(,"temperature":1e999)"));
   refusal(R"({"model":"m","max_tokens":0,"messages":[{"role":"user","content":"x"}]})");
   refusal(R"({"model":"m","max_tokens":5,"messages":[{"role":"assistant","content":"x"}]})");
   refusal(R"({"model":"m","max_tokens":5,"messages":[]})");
--- a/tests/program/roster_test.cpp
+++ b/tests/program/roster_test.cpp
@@ -89,5 +89,13 @@
   EXPECT_NE(out.note.find("10.0.0.9:1"), std::string::npos);
 }
 
+// Found by the fuzzer: a document without a version, and numbers that fit no counter.
+TEST(Roster, NumbersThatAreNoneAreRefused) {
+  for (const char* bad : {R"({"scope":"full","engines":[]})", R"({"version":1e300,"engines":[]})",
+                          R"({"version":-1,"engines":[]})",
+                          R"({"version":1,"engines":[{"address":"127.0.0.1:1","kind":"k","age_ms":1e300}]})"})
+    EXPECT_TRUE(std::holds_alternative<std::string>(parse(bad))) << bad;
+}
+
 }  // namespace
 }  // namespace calicograde::roster
