--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -19,7 +19,7 @@
 constexpr Span way = Span::micros(200), events_way = Span::millis(5), roster_way = Span::millis(300);
 constexpr double min_tokens = 64;
 constexpr Span fall = Span::millis(1500);
-constexpr double fall_multiple = 2.5, writes_a_second = 25;  // of a writer, about
+constexpr double fall_multiple = 2.5, usual_context = 3000;
 
 std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
   a = (a ^ b) * 0x9E3779B97F4A7C15ULL;
@@ -333,6 +333,14 @@
     }
   }
 
+  // Answers a second of a warm writer whose places are all taken, by the formula of a step.
+  double writes_a_second(const Shape& shape) const {
+    const auto n = static_cast<double>(shape.running);
+    const double step =
+        shape.step_ms + n * shape.stream_us / 1e3 + n * usual_context * shape.context_ns / 1e6;
+    const double answer = s_.load.answer_tokens * std::exp(s_.load.spread * s_.load.spread / 2);
+    return n / (answer * step / 1e3);
+  }
   // What an engine bears: the multiple of what it can do just now, and three more.
   double pushed(Box& b) {
     const Shape& shape = b.engine.shape();
@@ -340,8 +348,8 @@
     while (now_ - b.sends.front() > fall) b.sends.pop_front();
     if (!b.started || now_ - *b.started >= shape.cold) return 0;
     const double share = shape.cold_from + (1 - shape.cold_from) * ((now_ - *b.started) / shape.cold);
-    const double a_second =
-        b.reads ? 1e6 / shape.read_us / std::max(64.0, unread_ / std::max(1.0, reads_)) : writes_a_second;
+    const double a_second = b.reads ? 1e6 / shape.read_us / std::max(64.0, unread_ / std::max(1.0, reads_))
+                                    : writes_a_second(shape);
     return static_cast<double>(b.sends.size()) / (fall_multiple * share * a_second * fall.seconds() + 3);
   }
 
