--- a/tests/program/relay_test.cpp
+++ b/tests/program/relay_test.cpp
@@ -195,7 +195,7 @@
 TEST(Relay, ABudgetThatEndsWhileAToolRunsIsOneError) {
   Rig rig;
   rig.set([](ToolFaults& f) { f.silent = true; });
-  const auto end = rig.call("a", "[call look_up]", Span::millis(2500));
+  const auto end = rig.call("a", "[call look_up]", Span::millis(1700));
   EXPECT_EQ(end.how, "errored");
   EXPECT_EQ(rig.seen("final"), 1);
   EXPECT_EQ(rig.seen("after"), 0);
