--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -233,9 +233,15 @@
       // Only where nobody else is left are the doubted ones, and those that failed this one, taken.
       all.clear();
       bool reads = false;
+      // While some wait, what a reader surely keeps is not read anew elsewhere: that would cost all who wait.
+      const bool waits = holding_ && f.what.kept;
+      double least = never;
+      for (auto& [id, e] : engines_)
+        if (waits && e.reads && usable(f, id, e, any)) least = std::min(least, to_read(f, e));
       for (auto& [id, e] : engines_) {
         if (!usable(f, id, e, any)) continue;
         Candidate c{id, &e, e.reads && !reader_full(e, f), e.writes && !writer_full(e, f)};
+        c.reads = c.reads && (!waits || to_read(f, e) <= least + read_overhead);
         if (c.reads) c.read = reader_cost(f, e) + way_cost(nullptr, e);
         if (c.writes) c.write = writer_cost(e) + (e.itself && c.reads ? 0 : way_cost(nullptr, e));
         reads |= c.reads;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -71,6 +71,28 @@
   EXPECT_EQ(w.broken, "");
 }
 
+// Found by losing a hall in the emulator: once overloaded, the fleet read kept texts anew wherever there was
+// room, and stayed overloaded by it. While some wait, what one reader keeps waits for that reader.
+TEST(Router, WhileSomeWaitAKeptTextIsNotReadAnewElsewhere) {
+  World w(usual_settings());
+  w.list(small_fleet());
+  InfId id = 1;
+  for (; id < 80; ++id) w.arrive(id, 3000, ms(4000), 0, 0, std::map<EngineId, double>{});
+  ASSERT_EQ(w.sends(id - 1), 0u);  // some wait
+  const InfId wanted = id, as_new = id + 1;
+  const EngineId keeper = w.sent(1, 0).engine;
+  w.arrive(wanted, 3000, ms(4000), 0, 0, std::map<EngineId, double>{{keeper, 2900}});
+  w.arrive(as_new, 3000, ms(4000), 0, 0, std::map<EngineId, double>{});
+  // Room at the other reader, none at the one that keeps it.
+  for (InfId k = 2; k < id; ++k)
+    if (w.sends(k) > 0 && w.sent(k, 0).engine != keeper) w.end(k, 0, EndedAs::Full);
+  for (std::size_t k = 0; k < w.sends(wanted); ++k)
+    if (w.sent(wanted, k).reader) {
+      EXPECT_EQ(w.sent(wanted, k).engine, keeper);
+    }
+  EXPECT_EQ(w.broken, "");
+}
+
 TEST(Router, AMixedEngineForBothLegsTakesOneSend) {
   World w(usual_settings());
   w.list({entry(5, 2)});
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -88,8 +88,10 @@
     happen(FleetListed{scope, 1, std::move(entries)});
   }
 
-  void arrive(InfId id, double prompt = 1000, Span budget = ms(4000), int route = 0, TextKey session = 0) {
+  void arrive(InfId id, double prompt = 1000, Span budget = ms(4000), int route = 0, TextKey session = 0,
+              std::optional<std::map<EngineId, double>> kept = {}) {
     Arrived a;
+    a.kept = std::move(kept);
     a.inf = id;
     a.route = static_cast<std::uint16_t>(route);
     a.session = session;
