--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -112,8 +112,7 @@
     settings.fronts = s_.fronts, settings.may_cancel = true, settings.second_copies = true;
     settings.retry_advice = true, settings.max_sends = 6, settings.max_retry_after = Span::millis(1000);
     settings.pin_limit = Span::millis(500), settings.cold = Span::millis(12000), settings.cold_from = 0.25;
-    settings.fall_multiple = 2.5, settings.fall = Span::millis(1500),
-    settings.link_idle = Span::millis(15000);
+    settings.fall_multiple = fall_multiple, settings.fall = fall, settings.link_idle = Span::millis(15000);
     prefix::Limits limits;
     limits.blocks = s_.index_blocks, limits.fronts = s_.fronts;
     for (int k = 0; k < s_.readers + s_.writers; ++k) {
--- a/src/engines/completions.cpp
+++ b/src/engines/completions.cpp
@@ -119,22 +119,27 @@
   return dump(j);
 }
 
+namespace {
+
+void add(std::string& out, std::string_view kind, std::initializer_list<std::string_view> parts) {
+  out += kind, out += '\n';
+  for (const auto part : parts) out += part, out += '\n';
+}
+
+}  // namespace
+
 std::string canonical_text(const Prompt& p) {
   std::string out;
-  const auto add = [&](std::string_view kind, std::initializer_list<std::string_view> parts) {
-    out += kind, out += '\n';
-    for (const auto part : parts) out += part, out += '\n';
-  };
   for (const auto& t : p.tools) {
     const Json schema = parse(t.schema);
-    add("tool", {t.name, t.description, dump(schema.is_object() ? schema : Json::object())});
+    add(out, "tool", {t.name, t.description, dump(schema.is_object() ? schema : Json::object())});
   }
-  if (!p.system.empty()) add("system", {p.system});
+  if (!p.system.empty()) add(out, "system", {p.system});
   for (const auto& t : p.turns) {
-    for (const auto& r : t.results) add("result", {r.error ? "Error: " + r.text : r.text});
+    for (const auto& r : t.results) add(out, "result", {r.error ? "Error: " + r.text : r.text});
     if (!t.assistant && t.text.empty() && !t.results.empty()) continue;
-    add(t.assistant ? "assistant" : "user", {t.text});
-    for (const auto& u : t.uses) add("call", {u.name, u.input});
+    add(out, t.assistant ? "assistant" : "user", {t.text});
+    for (const auto& u : t.uses) add(out, "call", {u.name, u.input});
   }
   return out;
 }
@@ -142,24 +147,20 @@
 std::string canonical_text(std::string_view body) {
   const Json j = parse(body);
   std::string out;
-  const auto add = [&](std::string_view kind, std::initializer_list<std::string_view> parts) {
-    out += kind, out += '\n';
-    for (const auto part : parts) out += part, out += '\n';
-  };
   if (const Json* tools = at(j, "tools"); tools && tools->is_array())
     for (const auto& t : *tools)
       if (const Json* f = at(t, "function")) {
         const Json* schema = at(*f, "parameters");
-        add("tool", {text(*f, "name"), text(*f, "description"), schema ? dump(*schema) : "{}"});
+        add(out, "tool", {text(*f, "name"), text(*f, "description"), schema ? dump(*schema) : "{}"});
       }
   const Json* messages = at(j, "messages");
   if (!messages || !messages->is_array()) return out;
   for (const auto& m : *messages) {
     const std::string role = text(m, "role");
-    add(role == "tool" ? "result" : role, {text(m, "content")});
+    add(out, role == "tool" ? "result" : role, {text(m, "content")});
     if (const Json* calls = at(m, "tool_calls"); calls && calls->is_array())
       for (const auto& c : *calls)
-        if (const Json* f = at(c, "function")) add("call", {text(*f, "name"), text(*f, "arguments")});
+        if (const Json* f = at(c, "function")) add(out, "call", {text(*f, "name"), text(*f, "arguments")});
   }
   return out;
 }
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -660,9 +660,9 @@
     auto link = link_to(p, *at, until, facts);
     http::Response head;
     std::string text;
-    if (!link || !link->ask("POST", path, headers_for(name, nullptr), body, until)) return std::nullopt;
-    if (link->read_head(head, until) != BodyEnd::Done) return std::nullopt;
-    if (link->read_whole(text, until, answer_bytes) != BodyEnd::Done) return std::nullopt;
+    if (!link ||
+        !link->exchange("POST", path, headers_for(name, nullptr), body, head, text, until, answer_bytes))
+      return std::nullopt;
     p.links.give_back(*at, std::move(*link));
     return head.status == 200 ? std::optional(text) : std::nullopt;
   }
@@ -881,8 +881,7 @@
   for (auto& t : inside_->threads) t.join();
   while (inside_->cache_threads > 0) usleep(1000);
   // Sends still out hold on to this core: they end by their own deadlines.
-  for (const Workers* w : {&inside_->workers, &inside_->errands})
-    while (w->idle() < w->count()) usleep(1000);
+  inside_->workers.wait_idle(), inside_->errands.wait_idle();
 }
 
 void Core::start() {
--- a/src/front/messages_front.cpp
+++ b/src/front/messages_front.cpp
@@ -1,9 +1,8 @@
 #include "front/messages_front.hpp"
 
-#include <unistd.h>
-
 #include <cmath>
 
+#include "core/pattern.hpp"
 #include "front/answering.hpp"
 #include "front/callers.hpp"
 #include "front/workers.hpp"
@@ -127,8 +126,7 @@
         callers_(callers_kept),
         workers_(calls_at_once, core.settings().stack, calls_waiting) {}
   ~Messages() override {
-    // Calls still out hold on to this: they end by their own deadlines.
-    while (workers_.idle() < workers_.count()) usleep(1000);
+    workers_.wait_idle();  // calls still out hold on to this
   }
 
   bool takes(const std::string& path) const override {
@@ -180,7 +178,7 @@
   std::optional<std::size_t> route_of(const std::string& model) const {
     const auto& routes = core_.settings().routes;
     for (std::size_t k = 0; k < routes.size(); ++k)
-      if (settings::takes(routes[k].model, model)) return k;
+      if (fits(routes[k].model, model)) return k;
     return std::nullopt;
   }
 
@@ -339,8 +337,7 @@
         } else if (const auto* d = std::get_if<rounds::DropCall>(&step)) {
           if (const auto it = out.find(d->use); it != out.end()) calls_->cancel(it->second);
         } else if (const auto* s = std::get_if<rounds::ShowResult>(&step)) {
-          const auto text =
-              m.writer.result(m.rounds->settled()[s->use].use.id, s->result.text, s->result.error);
+          const auto text = m.writer.result(m.rounds->use(s->use).id, s->result.text, s->result.error);
           left = left || (m.call.stream && !m.visit.connection.piece(text)), wrote = clock_now();
         } else if (const auto* n = std::get_if<rounds::NextRound>(&step)) {
           return *n;
@@ -371,7 +368,7 @@
 
   void start_call(Message& m, const rounds::MakeCall& c, const std::shared_ptr<CallBox>& box,
                   std::map<std::size_t, ToolCalls::CallId>& out) {
-    const auto use = m.rounds->settled()[c.use].use;
+    const auto& use = m.rounds->use(c.use);
     const std::string params =
         rpc::with_member(rpc::with_member("{}", {"name"}, rpc::quoted(use.name)), {"arguments"}, use.input);
     ToolCalls::Order order{use.name, params, false, c.until};
--- a/src/front/tool_calls.cpp
+++ b/src/front/tool_calls.cpp
@@ -295,17 +295,16 @@
           ",\"clientInfo\":" + (info == "{}" ? R"({"name":"calicograde","version":"1"})" : info) + "}"};
   http::Response head;
   std::string body;
-  if (!link.ask("POST", path, headers_for("", nullptr), rpc::text_of(hello), until) ||
-      link.read_head(head, until) != BodyEnd::Done ||
-      link.read_whole(body, until, answer_bytes) != BodyEnd::Done || head.status != 200)
+  if (!link.exchange("POST", path, headers_for("", nullptr), rpc::text_of(hello), head, body, until,
+                     answer_bytes) ||
+      head.status != 200)
     return std::nullopt;
   const std::string id(http::header(head.headers, "mcp-session-id"));
   http::Response ready;
   std::string nothing;
-  if (!link.ask("POST", path, headers_for(id, rpc::revisions().front().c_str()),
-                rpc::text_of(rpc::Notification{"notifications/initialized", {}}), until) ||
-      link.read_head(ready, until) != BodyEnd::Done ||
-      link.read_whole(nothing, until, answer_bytes) != BodyEnd::Done)
+  if (!link.exchange("POST", path, headers_for(id, rpc::revisions().front().c_str()),
+                     rpc::text_of(rpc::Notification{"notifications/initialized", {}}), ready, nothing, until,
+                     answer_bytes))
     return std::nullopt;
   return id;
 }
@@ -328,11 +327,9 @@
   http::Response head;
   std::string body;
   auto link = connect(server, until);
-  if (link &&
-      link->ask("POST", settings_.servers[server].path,
-                headers_for(upstream, rpc::revisions().front().c_str()), message, until) &&
-      link->read_head(head, until) == BodyEnd::Done &&
-      link->read_whole(body, until, answer_bytes) == BodyEnd::Done)
+  if (link && link->exchange("POST", settings_.servers[server].path,
+                             headers_for(upstream, rpc::revisions().front().c_str()), message, head, body,
+                             until, answer_bytes))
     links_.give_back(settings_.servers[server].address, std::move(*link));
 }
 
@@ -502,11 +499,10 @@
     std::string body;
     const rpc::Request ask{std::to_string(++list_id_), "tools/list",
                            cursor.empty() ? "{}" : "{\"cursor\":" + cursor + "}"};
-    if (!link->ask("POST", settings_.servers[server].path,
-                   headers_for(listing_[server], rpc::revisions().front().c_str()), rpc::text_of(ask),
-                   until) ||
-        link->read_head(head, until) != BodyEnd::Done ||
-        link->read_whole(body, until, answer_bytes) != BodyEnd::Done || head.status != 200) {
+    if (!link->exchange("POST", settings_.servers[server].path,
+                        headers_for(listing_[server], rpc::revisions().front().c_str()), rpc::text_of(ask),
+                        head, body, until, answer_bytes) ||
+        head.status != 200) {
       listing_.erase(server);  // a session that has gone is opened anew the next time
       return std::nullopt;
     }
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -1,5 +1,7 @@
 #include "front/workers.hpp"
 
+#include <unistd.h>
+
 #include <chrono>
 
 #include "net/thread.hpp"
@@ -58,4 +60,8 @@
   --shared->threads;
 }
 
+void Workers::wait_idle() const {
+  while (idle() < count()) usleep(1000);
+}
+
 }  // namespace calicograde::front
--- a/src/front/workers.hpp
+++ b/src/front/workers.hpp
@@ -19,6 +19,8 @@
   bool submit(std::function<void()> job);
   std::size_t count() const;
   std::size_t idle() const;
+  // Until no job runs: jobs end by their own deadlines.
+  void wait_idle() const;
 
  private:
   struct Shared {
--- a/src/halls/halls.cpp
+++ b/src/halls/halls.cpp
@@ -35,7 +35,7 @@
 
 // What the module is told of an engine: the roster's word, but that it drains while it is withheld, and that
 // it is fresh where it came back from being refused.
-EngineEntry Halls::entry_of(const EngineId&, const Box& b) const {
+EngineEntry Halls::entry_of(const Box& b) const {
   EngineEntry e = b.entry;
   if (!b.admitted && e.lifecycle == Lifecycle::Ready) e.lifecycle = Lifecycle::Draining;
   if (b.fresh && (!e.started || *e.started < *b.fresh)) e.started = b.fresh;
@@ -60,7 +60,7 @@
     if (fresh_box || h.state == State::Up) b.admitted = h.state == State::Up && !h.by_hand;
     // In a hall that is lost, a box that the roster has started anew is a sign that it is back.
     if (restarted && h.state == State::Lost && e.lifecycle == Lifecycle::Ready) h.there.insert(e.engine);
-    e = entry_of(e.engine, b);
+    e = entry_of(b);
   }
   if (list.scope != ListScope::Delta && list.scope != ListScope::Failed)
     std::erase_if(boxes_, [&](const auto& b) { return !named.contains(b.first); });
@@ -82,8 +82,8 @@
   for (const auto& [id, b] : boxes_) {
     if (b.entry.zone != hall || b.entry.lifecycle == Lifecycle::Gone) continue;
     ++c.all;
-    const bool lost = looks_lost(b, now), alive = looks_alive(b, now);
-    c.lost += lost, c.alive += alive, c.tried += lost || alive;
+    const bool lost = looks_lost(b, now);
+    c.lost += lost, c.tried += lost || looks_alive(b, now);
   }
   return c;
 }
@@ -117,14 +117,12 @@
 void Halls::judge(Instant now) {
   if (!rules_.on) return;
   // All at once, and not by hand: more likely this front's own link.
-  std::size_t judged = 0, lost = 0, up = 0;
+  std::size_t lost = 0, up = 0;
   std::map<std::uint8_t, Count> counts;
   for (const auto& [hall, h] : halls_) {
     const Count c = counts[hall] = count(hall, now);
     if (h.state == State::Lost || c.all == 0) continue;
-    ++up;
-    if (c.tried == 0) continue;
-    ++judged, lost += judged_lost(c);
+    ++up, lost += judged_lost(c);
   }
   const bool cut = up > 0 && lost == up;
   if (cut != cut_off_) {
@@ -162,8 +160,8 @@
   std::size_t refused = 0;
   const double late = 1 + jitter * std::uniform_real_distribution<double>()(chance_);
   h.looks_at = now + hold_of(h, now) * late;
-  for (auto& [id, b] : boxes_)
-    if (b.entry.zone == hall) b.admitted = false, refused += looks_lost(b, now) && b.refused_at;
+  withhold(hall);
+  for (const auto& [id, b] : boxes_) refused += b.entry.zone == hall && looks_lost(b, now) && b.refused_at;
   h.refused = refused * 2 >= c.lost;
   char text[240];
   std::snprintf(text, sizeof text,
@@ -174,11 +172,16 @@
   tell_hall(hall);
 }
 
+void Halls::withhold(std::uint8_t hall) {
+  for (auto& [id, b] : boxes_)
+    if (b.entry.zone == hall) b.admitted = false;
+}
+
 void Halls::tell_hall(std::uint8_t hall) {
   FleetListed list;
   list.scope = ListScope::Delta, list.version = version_;
   for (const auto& [id, b] : boxes_)
-    if (b.entry.zone == hall) list.entries.push_back(entry_of(id, b));
+    if (b.entry.zone == hall) list.entries.push_back(entry_of(b));
   if (!list.entries.empty()) steps_.push_back(Tell{std::move(list)});
 }
 
@@ -265,8 +268,7 @@
   h.by_hand = out;
   if (out) {
     h.state = State::Lost, h.since = now, h.there.clear();
-    for (auto& [id, b] : boxes_)
-      if (b.entry.zone == hall) b.admitted = false;
+    withhold(hall);
     steps_.push_back(Note{"hall " + name(hall) + " is held out by hand"});
     tell_hall(hall);
   } else {
--- a/src/halls/halls.hpp
+++ b/src/halls/halls.hpp
@@ -74,14 +74,12 @@
     State state = State::Up;
     bool by_hand = false, refused = false;  // refused: its processes were gone, not its links
     Instant since, looks_at, lost_at;
-    double share = 1;                           // of its engines that are let in
-    std::set<EngineId> order;                   // of those that are
-    std::vector<Instant> losses;                // the last ones, for the hold
-    std::size_t seen_there = 0, seen_gone = 0;  // by looks, since it is lost
+    double share = 1;             // of its engines that are let in
+    std::vector<Instant> losses;  // the last ones, for the hold
     std::set<EngineId> there;
   };
   struct Count {
-    std::size_t all = 0, tried = 0, lost = 0, alive = 0;
+    std::size_t all = 0, tried = 0, lost = 0;
   };
 
   bool looks_lost(const Box& b, Instant now) const;
@@ -93,8 +91,9 @@
   void try_again(Instant now, std::uint8_t hall);
   void advance(Instant now, std::uint8_t hall);
   void admit(Instant now, std::uint8_t hall);
+  void withhold(std::uint8_t hall);
   Span hold_of(const Hall& h, Instant now) const;
-  EngineEntry entry_of(const EngineId& id, const Box& b) const;
+  EngineEntry entry_of(const Box& b) const;
   void tell_hall(std::uint8_t hall);
   void look(Instant now, std::uint8_t hall);
   const std::string& name(std::uint8_t hall) const;
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -213,6 +213,13 @@
   }
 }
 
+bool ClientConnection::exchange(std::string_view method, std::string_view target, const Headers& headers,
+                                std::string_view body, Response& head, std::string& answer, Instant deadline,
+                                std::size_t most) {
+  return ask(method, target, headers, body, deadline) && read_head(head, deadline) == BodyEnd::Done &&
+         read_whole(answer, deadline, most) == BodyEnd::Done;
+}
+
 bool ClientConnection::reusable() const {
   return parts_->whole && parts_->buffer.size() == 0 &&
          (!parts_->parser || parts_->parser->get().keep_alive()) && !stream_.stale();
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -80,6 +80,10 @@
   BodyEnd read_body(std::string& out, Instant deadline);
   // All of it, up to `most` bytes; larger is Broken.
   BodyEnd read_whole(std::string& out, Instant deadline, std::size_t most);
+  // The three in one: false unless the whole answer is here by the deadline, whatever its status.
+  bool exchange(std::string_view method, std::string_view target, const Headers& headers,
+                std::string_view body, Response& head, std::string& answer, Instant deadline,
+                std::size_t most);
   bool reusable() const;  // the last answer was read whole and the peer keeps the connection open
   std::size_t uses() const { return uses_; }
   net::Stream& stream() { return stream_; }
--- a/src/prefix/index.cpp
+++ b/src/prefix/index.cpp
@@ -38,7 +38,6 @@
 
 Index::Index(Limits limits) : limits_(limits) {
   nodes_.emplace_back();  // the opening: no blocks, kept by all
-  live_ = 1;
 }
 
 // ---- engines
@@ -113,7 +112,7 @@
 
 bool Index::tells(const EngineId& engine) const {
   const Box* b = box_of(engine);
-  return b && b->telling && !b->gap;
+  return b && b->tells();
 }
 
 // ---- the tree
@@ -129,7 +128,6 @@
   }
   nodes_[id].parent = parent, nodes_[id].depth = depth;
   nodes_[parent].children.push_back(id);
-  ++live_;
   return id;
 }
 
@@ -164,7 +162,7 @@
   unlink(id);
   std::erase(nodes_[n.parent].children, id);
   n = {};
-  free_.push_back(id), --live_;
+  free_.push_back(id);
 }
 
 void Index::make_room() {
@@ -234,7 +232,8 @@
   return {id, fits};
 }
 
-Index::NodeId Index::reach(const Chain& chain, std::size_t blocks) {
+Index::NodeId Index::reach(const Chain& chain) {
+  const std::size_t blocks = chain.size();
   auto [id, fits] = walk(chain, [](NodeId, std::uint32_t) {});
   const std::size_t known = id == root ? 0 : nodes_[id].depth + fits;
   // Known beyond, or another way goes on from within the run.
@@ -264,6 +263,15 @@
   ++boxes_[slot].nodes;
 }
 
+void Index::hold_whole(const Chain& chain, Slot slot) {
+  const NodeId last = reach(chain);
+  // Each run on the way ends where the next begins, and the last one where the chain does.
+  for (NodeId id = last; id != root; id = nodes_[id].parent)
+    hold(id, slot, static_cast<std::uint32_t>(nodes_[id].run.size()), boxes_[slot].odometer);
+  touch(last);
+  make_room();
+}
+
 void Index::drop_below(NodeId id, Slot slot) {
   std::vector<NodeId> todo(nodes_[id].children);
   while (!todo.empty()) {
@@ -334,7 +342,7 @@
   for (std::size_t k = 0; k < found.size(); ++k) {
     const Box& b = boxes_[k];
     if (found[k].blocks == 0 || !b.listed) continue;
-    const bool told = b.telling && !b.gap;
+    const bool told = b.tells();
     out.push_back({b.id, found[k].blocks,
                    told ? 1.0 : likely(b, b.odometer - static_cast<double>(found[k].pushed)), told});
   }
@@ -377,14 +385,8 @@
   }
   Box& b = boxes_[slot];
   b.odometer += std::max(0.0, tokens - (found ? *found : each * expected));
-  if (b.telling && !b.gap) return;  // its own word counts
-  const NodeId last = reach(chain, chain.size());
-  for (NodeId id = last; id != root; id = nodes_[id].parent)
-    hold(id, slot,
-         static_cast<std::uint32_t>(std::min(nodes_[id].run.size(), chain.size() - nodes_[id].depth)),
-         b.odometer);
-  touch(last);
-  make_room();
+  if (b.tells()) return;  // its own word counts
+  hold_whole(chain, slot);
 }
 
 // ---- an engine's own word
@@ -461,13 +463,7 @@
   if (slot >= boxes_.size()) return;
   boxes_[slot].telling = true, boxes_[slot].gap = false, boxes_[slot].next = number;
   for (const Chain& c : kept) {
-    if (c.empty()) continue;
-    const NodeId last = reach(c, c.size());
-    for (NodeId id = last; id != root; id = nodes_[id].parent)
-      hold(id, slot, static_cast<std::uint32_t>(std::min(nodes_[id].run.size(), c.size() - nodes_[id].depth)),
-           boxes_[slot].odometer);
-    touch(last);
-    make_room();
+    if (!c.empty()) hold_whole(c, slot);
   }
 }
 
--- a/src/prefix/index.hpp
+++ b/src/prefix/index.hpp
@@ -30,7 +30,6 @@
   explicit Cutter(std::size_t block_bytes) : block_bytes_(block_bytes) {}
   void add(std::string_view text);
   const Chain& chain() const { return chain_; }
-  std::size_t block_bytes() const { return block_bytes_; }
 
  private:
   const std::size_t block_bytes_;
@@ -94,7 +93,6 @@
   bool tells(const EngineId& engine) const;
 
   std::size_t blocks() const { return blocks_; }
-  std::size_t nodes() const { return live_; }
   std::size_t bytes() const;  // about, of all that is kept
 
  private:
@@ -129,6 +127,7 @@
     std::deque<std::pair<double, bool>> seen;
     mutable std::optional<double> reach;  // worked out from them when asked for
     std::size_t nodes = 0;
+    bool tells() const { return telling && !gap; }
   };
 
   Slot slot_of(const EngineId& engine);
@@ -136,8 +135,8 @@
   NodeId make(NodeId parent, std::uint32_t depth);
   void remove(NodeId id);
   void split(NodeId id, std::uint32_t at);
-  // The node whose run ends exactly where `blocks` of the chain end, made if need be.
-  NodeId reach(const Chain& chain, std::size_t blocks);
+  // The node whose run ends exactly where the chain ends, made if need be.
+  NodeId reach(const Chain& chain);
   // Walks down as far as the chain is known, calling `at` with each node and how much of its run fits.
   // Returns the last one.
   template <class At>
@@ -147,6 +146,7 @@
   void to_front(NodeId id);
   void unlink(NodeId id);
   void hold(NodeId id, Slot slot, std::uint32_t blocks, double pushed);
+  void hold_whole(const Chain& chain, Slot slot);
   void cut(NodeId id, Slot slot, std::uint32_t blocks);  // and all below it
   void drop_below(NodeId id, Slot slot);
   void make_room();
@@ -158,7 +158,7 @@
   std::vector<NodeId> free_;
   boost::unordered_flat_map<BlockName, Place> places_;  // of every block
   NodeId newest_ = none, oldest_ = none;
-  std::size_t blocks_ = 0, live_ = 0;
+  std::size_t blocks_ = 0;
   std::vector<Box> boxes_;
   std::map<EngineId, Slot> slots_;
 };
--- a/src/prefix/knowledge.cpp
+++ b/src/prefix/knowledge.cpp
@@ -59,9 +59,6 @@
   const Open& o = it->second;
   const auto expected = o.expected.find(engine);
   const std::uint32_t blocks = expected == o.expected.end() ? 0 : expected->second;
-  hits_.asked += o.tokens;
-  hits_.expected += o.tokens * blocks / static_cast<double>(o.chain->size());
-  hits_.found += found.value_or(0);
   index_.read(engine, *o.chain, o.tokens, found, blocks);
 }
 
--- a/src/prefix/knowledge.hpp
+++ b/src/prefix/knowledge.hpp
@@ -31,13 +31,6 @@
     index_.synced(engine, number, kept);
   }
 
-  // Tokens that arrivals asked for and that reads found kept, since the last call: the hit rate's two halves.
-  struct Hits {
-    double asked = 0, expected = 0, found = 0;
-  };
-  Hits take_hits() { return std::exchange(hits_, {}); }
-  const Index& index() const { return index_; }
-
  private:
   struct Open {
     std::shared_ptr<const Chain> chain;
@@ -50,7 +43,6 @@
   Index index_;
   std::map<EngineId, std::uint8_t> readers_;  // those that are ready, with their kinds
   std::map<InfId, Open> open_;
-  Hits hits_;
 };
 
 }  // namespace calicograde::prefix
--- a/src/rounds/rounds.cpp
+++ b/src/rounds/rounds.cpp
@@ -3,18 +3,14 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/pattern.hpp"
+
 namespace calicograde::rounds {
 namespace {
 
 // A call that could not have an answer any more is not begun.
 constexpr Span least_call = Span::millis(20);
 
-bool fits(std::string_view pattern, std::string_view name) {
-  if (!pattern.ends_with('*')) return pattern == name;
-  pattern.remove_suffix(1);
-  return name.starts_with(pattern);
-}
-
 }  // namespace
 
 bool calls(const Rules& rules, std::string_view tool) {
--- a/src/rounds/rounds.hpp
+++ b/src/rounds/rounds.hpp
@@ -106,6 +106,7 @@
     std::optional<Result> result;
   };
   std::vector<Settled> settled() const;
+  const Use& use(std::size_t number) const { return uses_[number].use; }
   // Who makes the call of a tool. Where nothing is called here, all are the client's, whatever their names.
   enum class Whose { Front, Client, Nobody };
   Whose whose(const std::string& tool) const;
@@ -115,7 +116,6 @@
   // Something out of a call's reach may have happened, whose repeat no server drops.
   bool unsure() const { return unsure_; }
   int round() const { return round_; }
-  std::size_t calls_out() const { return out_; }
   std::size_t calls_made() const { return made_; }
 
  private:
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -5,6 +5,8 @@
 #include <map>
 #include <utility>
 
+#include "core/pattern.hpp"
+
 namespace calicograde::settings {
 namespace {
 
@@ -243,7 +245,7 @@
     if (r.timeout < m.first_token_target)
       fault(e, "route-timeout is below first-token-target",
             "nothing could be late but in time: raise route-timeout");
-    if (r.model.empty() || r.model.find('*') < r.model.size() - 1)
+    if (!is_pattern(r.model))
       fault(e, "model '" + r.model + "' is no pattern", "write a name, or a prefix that ends in *");
     for (const auto& other : out.routes) {
       if (other.name == r.name)
@@ -254,7 +256,7 @@
               "route '" + r.name + "' matches the same model '" + r.model + "' as route '" + other.name +
                   "' in line " + std::to_string(other.line),
               "give each its own model or prefix");
-      else if (other.model.ends_with('*') && takes(other.model, r.model))
+      else if (other.model.ends_with('*') && fits(other.model, r.model))
         fault(e,
               "route '" + r.name + "' is never reached: route '" + other.name + "' in line " +
                   std::to_string(other.line) + " takes its models first",
@@ -282,7 +284,7 @@
         word += c;
         continue;
       }
-      if (!word.empty() && word.find('*') < word.size() - 1)
+      if (!word.empty() && !is_pattern(word))
         fault(e, "'" + word + "' is no pattern", "write a name, or a prefix that ends in *");
       if (!word.empty()) out.tools.push_back(std::exchange(word, {}));
     }
@@ -351,10 +353,10 @@
         fault(*t, "tool '" + r.pattern + "' names a dedupe-window, but is " + effect,
               "drop it, or set effect to deduped");
       if (r.time_out <= Span{}) fault(*t, "time-out is 0", "give a time above 0");
-      if (r.pattern.empty() || r.pattern.find('*') < r.pattern.size() - 1)
+      if (!is_pattern(r.pattern))
         fault(*t, "'" + r.pattern + "' is no pattern", "write a name, or a prefix that ends in *");
       for (const auto& other : out.desk.rules)
-        if (other.pattern == r.pattern || (other.pattern.ends_with('*') && takes(other.pattern, r.pattern)))
+        if (other.pattern == r.pattern || (other.pattern.ends_with('*') && fits(other.pattern, r.pattern)))
           fault(*t, "tool '" + r.pattern + "' is never reached: '" + other.pattern + "' takes it first",
                 "move it above");
       out.desk.rules.push_back(r);
@@ -369,12 +371,6 @@
 
 }  // namespace
 
-bool takes(std::string_view pattern, std::string_view model) {
-  if (!pattern.ends_with('*')) return pattern == model;
-  pattern.remove_suffix(1);
-  return model.starts_with(pattern);
-}
-
 std::optional<Front> load(const std::string& file, std::string_view text, std::vector<Fault>& faults) {
   const auto before = faults.size();
   const auto root = read_xml(file, text, schema(), faults);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -89,7 +89,4 @@
 std::optional<Front> load_file(const std::string& file, std::vector<Fault>& faults);
 std::string_view schema();
 
-// Whether a route's model takes what a client names.
-bool takes(std::string_view pattern, std::string_view model);
-
 }  // namespace calicograde::settings
--- a/src/tools/tool_desk.cpp
+++ b/src/tools/tool_desk.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <tuple>
 
+#include "core/pattern.hpp"
+
 namespace calicograde::tools {
 namespace {
 
@@ -17,11 +19,6 @@
 constexpr Span most_rest = Span::millis(2000);  // of a call before its next send
 constexpr double deviations = 6;
 
-bool fits(const std::string& pattern, const std::string& tool) {
-  if (pattern.empty() || pattern.back() != '*') return pattern == tool;
-  return tool.compare(0, pattern.size() - 1, pattern, 0, pattern.size() - 1) == 0;
-}
-
 }  // namespace
 
 ToolDesk::ToolDesk(DeskSettings settings)
