What is worked out from a prompt is worked out by the core alone

Need: the messages front and the tools that are inferences each filled in sizes, shared part, blocks and prompt of what they ask for, with one bound in one copy only (it can't act in the other: a system text is no longer than its prompt). Core::set_prompt serves both. The tests' wait for an event stands once (tests/program/until.hpp).

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -954,6 +954,16 @@
   inside_->keys.ended(route, key, ran, first, unsure);
 }
 
+void Core::set_prompt(Asked& a, Prompt prompt, std::size_t opening_bytes) const {
+  a.prompt_bytes = intake::bytes_of(prompt);
+  a.prompt_tokens = estimate_tokens(a.route, a.prompt_bytes);
+  if (a.shared_text != 0)
+    a.shared_tokens = std::min(a.prompt_tokens, a.prompt_tokens * static_cast<double>(opening_bytes) /
+                                                    static_cast<double>(a.prompt_bytes));
+  a.chain = chain_of(a.route, prompt);
+  a.prompt = std::make_shared<const Prompt>(std::move(prompt));
+}
+
 std::shared_ptr<const prefix::Chain> Core::chain_of(std::size_t route, const Prompt& prompt) const {
   const auto& pool = settings_.pools[settings_.routes[route].pool];
   if (pool.index_blocks == 0) return nullptr;
--- a/src/front/core.hpp
+++ b/src/front/core.hpp
@@ -147,8 +147,9 @@
   // the first time at `first`; `unsure`: with an effect whose repeat no engine drops.
   void key_over(const std::string& route, const std::string& key, bool ran, Instant first, bool unsure);
 
-  // The prompt's blocks by name; null where the route's pool has no index.
-  std::shared_ptr<const prefix::Chain> chain_of(std::size_t route, const Prompt& prompt) const;
+  // Sets the prompt of what is asked for on a route, and what is worked out from it: sizes, and its blocks by
+  // name where the route's pool has an index. `opening_bytes`: of it, what stands under `shared_text`.
+  void set_prompt(Asked& asked, Prompt prompt, std::size_t opening_bytes) const;
   // Estimates, corrected by what engines report.
   double estimate_tokens(std::size_t route, std::size_t bytes) const;
 
@@ -160,6 +161,7 @@
   log::Log& log() { return log_; }
 
  private:
+  std::shared_ptr<const prefix::Chain> chain_of(std::size_t route, const Prompt& prompt) const;
   struct Inside;
   const settings::Front settings_;
   log::Log& log_;
--- a/src/front/messages_front.cpp
+++ b/src/front/messages_front.cpp
@@ -262,16 +262,8 @@
 
   Asked next_inference(Message& m, int round) {
     Asked a = m.base;
-    const Prompt& p = m.call.prompt;
-    a.prompt_bytes = intake::bytes_of(p);
-    a.prompt_tokens = core_.estimate_tokens(a.route, a.prompt_bytes);
-    if (a.shared_text != 0)
-      a.shared_tokens =
-          std::min(a.prompt_tokens, a.prompt_tokens * static_cast<double>(m.call.opening.size()) /
-                                        static_cast<double>(a.prompt_bytes));
+    core_.set_prompt(a, m.call.prompt, m.call.opening.size());
     a.ends = m.rounds->ends();
-    a.chain = core_.chain_of(a.route, p);
-    a.prompt = std::make_shared<const Prompt>(p);
     // A later round is another inference to the engines, but the client's key is the message's.
     a.key_taken = round > 0;
     if (round > 0 && !a.dedupe_key.empty()) a.dedupe_key += "~" + std::to_string(round + 1);
--- a/src/front/tool_calls.cpp
+++ b/src/front/tool_calls.cpp
@@ -197,16 +197,10 @@
   prompt.system = tool.system, prompt.turns.push_back({false, *text}), prompt.max_tokens = tool.max_tokens;
   Asked asked;
   asked.route = tool.route;
-  asked.prompt_bytes = intake::bytes_of(prompt);
-  asked.prompt_tokens = core_.estimate_tokens(tool.route, asked.prompt_bytes);
   asked.session = intake::session_key("", prompt);
   asked.shared_text = intake::shared_key(route.model, prompt.system);
-  if (asked.shared_text != 0)
-    asked.shared_tokens = asked.prompt_tokens * static_cast<double>(prompt.system.size()) /
-                          static_cast<double>(asked.prompt_bytes);
   asked.ends = std::min(order.ends, clock_now() + route.timeout);
-  asked.chain = core_.chain_of(tool.route, prompt);
-  asked.prompt = std::make_shared<const Prompt>(std::move(prompt));
+  core_.set_prompt(asked, std::move(prompt), tool.system.size());
   const Answering::Terms terms{asked.ends, false, false, -1};
   Answering answering(core_);
   if (!answering.ok()) return fail(tools::FailCall::Why::Busy, Span::millis(1000));
--- a/tests/program/front_test.cpp
+++ b/tests/program/front_test.cpp
@@ -14,6 +14,7 @@
 #include "lab/plan.hpp"
 #include "lab/roster_standin.hpp"
 #include "net/clock.hpp"
+#include "until.hpp"
 
 namespace calicograde::front {
 namespace {
@@ -21,13 +22,6 @@
 using lab::EngineStandin;
 using net::clock_now;
 
-bool until(const std::function<bool()>& holds, Span most = Span::millis(20000)) {
-  const Instant end = clock_now() + most;
-  while (!holds())
-    if (usleep(1000); clock_now() > end) return false;
-  return true;
-}
-
 struct Rig {
   explicit Rig(lab::Plan p = lab::small_plan(), const std::function<void(settings::Front&)>& change = {})
       : plan(std::move(p)) {
--- a/tests/program/relay_test.cpp
+++ b/tests/program/relay_test.cpp
@@ -14,6 +14,7 @@
 #include "lab/roster_standin.hpp"
 #include "lab/tool_standin.hpp"
 #include "net/clock.hpp"
+#include "until.hpp"
 
 namespace calicograde::front {
 namespace {
@@ -21,12 +22,6 @@
 using lab::ToolFaults;
 using net::clock_now;
 
-bool until(const std::function<bool()>& holds) {
-  const Instant end = clock_now() + Span::millis(20000);
-  while (!holds())
-    if (usleep(1000); clock_now() > end) return false;
-  return true;
-}
 std::string offer(const std::string& name) {
   return R"({"name":")" + name + R"(","description":"d","inputSchema":{"type":"object"}})";
 }
--- a/tests/program/tools_front_test.cpp
+++ b/tests/program/tools_front_test.cpp
@@ -9,6 +9,7 @@
 #include "lab/tool_standin.hpp"
 #include "net/clock.hpp"
 #include "rpc/message.hpp"
+#include "until.hpp"
 
 namespace calicograde::front {
 namespace {
@@ -22,13 +23,6 @@
 const std::string pay =
     R"({"name":"pay","inputSchema":{"type":"object"},"annotations":{"idempotentHint":true,"readOnlyHint":true}})";
 
-bool until(const std::function<bool()>& holds) {
-  const Instant end = clock_now() + Span::millis(20000);
-  while (!holds())
-    if (usleep(1000); clock_now() > end) return false;
-  return true;
-}
-
 struct Answer {
   int status = 0;
   std::string session, body;
