--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -4,7 +4,9 @@
 #include <string>
 #include <vector>
 
+#include "emulator/arrivals.hpp"
 #include "emulator/engine.hpp"
+#include "limits/knee.hpp"
 
 // A fleet of emulated engines and its fronts in simulated time: the module, the cases and the knowledge of
 // prompts as the daemon has them, without sockets. Same seed, same rows.
@@ -12,14 +14,6 @@
 
 enum class Knows { Nothing, Table, Sends, Events, Perfect };  // of what engines keep
 
-struct LoadShape {
-  double sessions_a_s = 2, turns = 4, think_s = 4;  // means
-  std::size_t openings = 20;                        // shared, by Zipf
-  double zipf = 1.1;
-  double opening_tokens = 2000, turn_tokens = 400, answer_tokens = 120;  // medians; lognormal
-  double spread = 0.6;                                                   // sigma
-  double burst = 1, burst_s = 0;  // rate times this, for so long in each 30 s
-};
 struct WorldShape {
   int readers = 6, writers = 6, fronts = 1, racks = 2;
   Knows knows = Knows::Table;
@@ -31,6 +25,15 @@
   bool judge_halls = false;             // as the daemon does
   Span lost_at, lost_for;               // the last hall; zero = it is not lost
   Span told_late = Span::millis(5000);  // of its return, the last front
+  int losses = 1;                       // so often, `lost_for` between them
+  bool lost_silent = false;             // its links are cut: nothing answers, nothing refuses
+  double back_share = 1;                // of its engines that come back
+  std::optional<Span> front_restarts;   // the first front, then: it comes back knowing nothing
+  // Beside the module: adaptive caps, tiers (each front prefers one hall, in turn) with a bound on spill, a
+  // budget of repeated sends; or, in its place, engines in turn.
+  bool caps = false, tiers = false, round_robin = false;
+  limits::KneeRules::By caps_by = limits::KneeRules::By::Aimd;
+  double spill_bound = 0.25, repeats = 0;
   std::size_t index_blocks = 1 << 20, memory_blocks = 4000;
   std::uint64_t seed = 1;
 };
@@ -43,6 +46,7 @@
   // The most that any cold engine it was sent to had been sent in the window of rule 4, by all fronts
   // together, as a share of what it bears; 0 = none was cold.
   double push = 0;
+  double value = 1;  // of its route
 };
 
 std::vector<Row> simulate(const WorldShape& shape);
--- a/src/lab/engine_standin.cpp
+++ b/src/lab/engine_standin.cpp
@@ -69,6 +69,18 @@
       dedupe_(std::move(dedupe)),
       started_(clock_now()),
       random_(static_cast<std::uint32_t>(options_.seed)) {
+  if (options_.emulated) {
+    emulator::Shape shape;
+    shape.stage = options_.stage, shape.running = static_cast<std::size_t>(options_.slots),
+    shape.queue = static_cast<std::size_t>(options_.queue);
+    shape.blocks = static_cast<std::size_t>(options_.memory_tokens / shape.block_tokens);
+    shape.read_us = 1e6 / options_.read_per_s, shape.cold_from = options_.cold_from;
+    shape.cold = options_.cold, shape.state_life = state_life, shape.events = options_.cache_events;
+    emulated_ = std::make_unique<Emulated>(shape, [this](const std::vector<prefix::CacheEvent>& events) {
+      const std::lock_guard lock(mutex_);
+      for (const auto& e : events) tell(e.what, e.after, e.blocks);
+    });
+  }
   listener_ = std::make_shared<net::Listener>(net::Address{"127.0.0.1", 0});
   port_ = listener_->port();
   address_ = "127.0.0.1:" + std::to_string(port_);
@@ -115,6 +127,7 @@
     next_event_ = 0;
     note("down", "", "", "crash");
   }
+  if (emulated_) emulated_->restart();
   listener_->stop();
   acceptor_.join();
   listener_.reset();
@@ -123,10 +136,12 @@
 void EngineStandin::restart() {
   if (!is_down()) crash();
   while (threads_ > 0) usleep(1000);
+  if (emulated_) emulated_->restart();
   listener_ = std::make_shared<net::Listener>(net::Address{"127.0.0.1", port_});
   {
     const std::lock_guard lock(mutex_);
     faults_ = {};
+    told_.clear(), next_event_ = 0;  // an old life's last words are not this one's
     started_ = clock_now(), cold_ = true, reading_ = writing_ = waiting_ = 0, reading_until_ = started_;
     ++life_;
     note("started", incarnation(), "", "cold", options_.rate);
@@ -190,12 +205,13 @@
 }
 
 std::string EngineStandin::load() {
+  const double emulated = emulated_ ? emulated_->memory_share() : 0;
   const std::lock_guard lock(mutex_);
   double held = 0;
   for (const auto& [name, h] : held_) held += h.tokens;
   LoadReport r;
   r.inferences_held = reading_ + writing_ + static_cast<int>(held_.size());
-  r.waiting = waiting_, r.memory_share = held / options_.memory_tokens;
+  r.waiting = waiting_, r.memory_share = emulated_ ? emulated : held / options_.memory_tokens;
   if (!faults_.stale_reports || last_report_.empty()) last_report_ = engines::text_of(r);
   return last_report_;
 }
@@ -210,29 +226,36 @@
   return sum;
 }
 
-bool EngineStandin::hold(const std::string& name, double tokens, bool place) {
+bool EngineStandin::hold(const std::string& name, double tokens, bool place, emulator::JobId job) {
   const std::lock_guard lock(mutex_);
   std::erase_if(released_early_, [](const auto& r) { return clock_now() - r.second > tombstone_life; });
   if (released_early_.erase(name) > 0) return false;
-  if (held_tokens() + tokens > options_.memory_tokens) return false;
+  // What an emulated engine has read it has room for.
+  if (const double held = held_tokens(); job == 0 && held + tokens > options_.memory_tokens) return false;
   if (place &&
       (writing_ + std::count_if(held_.begin(), held_.end(), [](const auto& h) { return h.second.place; }) >=
            options_.slots ||
        waiting_ > 0))
     return false;
-  held_[name] = {tokens, place, clock_now() + state_life};
+  held_[name] = {tokens, place, clock_now() + state_life, job};
   note("held", name, "", place ? "place" : "state", tokens);
   return true;
 }
 
 bool EngineStandin::unhold(const std::string& name, const std::string& how) {
-  const std::lock_guard lock(mutex_);
-  if (held_.erase(name) == 0) {
-    if (how == "released") released_early_[name] = clock_now();
-    return false;
+  emulator::JobId job = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto it = held_.find(name);
+    if (it == held_.end()) {
+      if (how == "released") released_early_[name] = clock_now();
+      return false;
+    }
+    job = it->second.job;
+    held_.erase(it);
+    note("unheld", name, "", how);
   }
-  note("unheld", name, "", how);
-  return true;
+  return job == 0 || emulated_->take_state(job);
 }
 
 double EngineStandin::capacity() {
@@ -282,11 +305,16 @@
   if (!c.begin_stream(200, {{"content-type", "text/event-stream"}})) return false;
   std::uint64_t next = 0;
   std::string out;
+  std::vector<prefix::Chain> chains;
   {
     const std::lock_guard lock(mutex_);
-    next = next_event_;
-    out = http::event_text("", engines::text_of(engines::CacheWhole{next, chains_}));
+    next = next_event_, chains = chains_;
   }
+  // An emulated engine forgets by itself: what is left of each chain. What changes meanwhile comes as events.
+  for (auto& chain : chains)
+    if (emulated_) chain.resize(emulated_->kept(chain));
+  std::erase_if(chains, [](const auto& chain) { return chain.empty(); });
+  out = http::event_text("", engines::text_of(engines::CacheWhole{next, chains}));
   for (Instant wrote = clock_now(); c.piece(out);) {
     if (!wait(c, clock_now() + Span::millis(2), life)) return false;
     out.clear();
@@ -363,6 +391,7 @@
   }
   if (fails) return refuse(a, c, 500, "internal");
   if (!f.closed_to.empty() && f.closed_to == a.model) return refuse(a, c, 429, "queue_full");
+  if (emulated_) return a.read ? emulated_read(a, c, life) : emulated_write(a, c, life);
   return a.read ? read(a, c, life) : write(a, c, life);
 }
 
@@ -393,6 +422,10 @@
   if (faults().garbage)
     return note("send_end", a.name, a.mark, "garbage"), respond(c, 200, "{\"what\":") && false;
   if (!hold(a.name, a.tokens, false)) return refuse(a, c, 429, "queue_full");
+  return answer_read(a, c, kept);
+}
+
+bool EngineStandin::answer_read(const Asked& a, http::ServerConnection& c, double kept) {
   const Json body{{"id", a.name},
                   {"object", "chat.completion"},
                   {"choices", Json::array({{{"index", 0},
@@ -415,6 +448,29 @@
   return respond(c, 200, body.dump()) || (unhold(a.name, "undelivered"), false);
 }
 
+// The state that its write names, from the reader that holds it.
+bool EngineStandin::fetch(const Asked& a) {
+  const auto from = net::parse_address(a.state_at);
+  if (!from) return false;
+  auto [how, stream] = net::Stream::connect(*from, clock_now() + Span::millis(250));
+  if (how != net::ConnectEnd::Connected) return false;
+  http::ClientConnection link(std::move(stream));
+  http::Response head;
+  const Instant until = clock_now() + Span::millis(500);
+  return link.ask("POST", "/standin/fetch", {{"host", "standin"}, {"x-request-id", a.state_name}}, "{}",
+                  until) &&
+         link.read_head(head, until) == http::BodyEnd::Done && head.status == 200;
+}
+
+void EngineStandin::take_effect(const Asked& a) {
+  bool effect = true;
+  if (!a.key.empty() && dedupe_) {
+    const std::lock_guard lock(dedupe_->mutex);
+    effect = dedupe_->seen.emplace(a.key, clock_now()).second;
+  }
+  if (effect) note("effect", a.name, a.mark, a.key);
+}
+
 bool EngineStandin::write(const Asked& a, http::ServerConnection& c, int life) {
   if (options_.stage == Stage::Read) return refuse(a, c, 400, "no_writer");
   if (options_.stage == Stage::Write && a.state_name.empty()) return refuse(a, c, 409, "kv_state_gone");
@@ -448,15 +504,7 @@
     const auto from = net::parse_address(a.state_at);
     bool got = false;
     if (from && wait(c, clock_now() + Span::from_seconds(a.tokens / near_tokens_per_s * f.link_slow), life)) {
-      auto [how, stream] = net::Stream::connect(*from, clock_now() + Span::millis(250));
-      http::Response head;
-      if (how == net::ConnectEnd::Connected) {
-        http::ClientConnection link(std::move(stream));
-        const Instant until = clock_now() + Span::millis(500);
-        got = link.ask("POST", "/standin/fetch", {{"host", "standin"}, {"x-request-id", a.state_name}}, "{}",
-                       until) &&
-              link.read_head(head, until) == http::BodyEnd::Done && head.status == 200;
-      }
+      got = fetch(a);
     }
     if (!got) {
       const std::lock_guard lock(mutex_);
@@ -465,20 +513,23 @@
     if (!got && life_ != life) return false;
     if (!got) return refuse(a, c, 409, "kv_state_gone");
   }
-  // From here on it runs. A repeat that the group remembers is answered without a second effect.
-  bool effect = true;
-  if (!a.key.empty() && dedupe_) {
-    const std::lock_guard lock(dedupe_->mutex);
-    effect = dedupe_->seen.emplace(a.key, clock_now()).second;
-  }
-  if (effect) note("effect", a.name, a.mark, a.key);
+  take_effect(a);
   if (!c.begin_stream(200, {{"content-type", "text/event-stream"}})) return out("left"), false;
   const int n = std::max(1, std::min(a.answer_tokens, 3 + static_cast<int>(a.tokens) % 40));
+  const auto await_token = [&](int k) {
+    const Span pace = k == 0 && options_.first_token > Span{} ? options_.first_token : options_.token;
+    if (wait(c, clock_now() + pace * (faults().slow / std::max(0.2, capacity())), life)) return true;
+    return out("left"), false;
+  };
+  return stream(a, c, n, await_token, out);
+}
+
+bool EngineStandin::stream(const Asked& a, http::ServerConnection& c, int n,
+                           const std::function<bool(int)>& await_token,
+                           const std::function<void(const std::string&)>& out) {
   for (int k = 0; k <= n; ++k) {
+    if (!await_token(k)) return false;
     const Faults now = faults();
-    const Span pace = k == 0 && options_.first_token > Span{} ? options_.first_token : options_.token;
-    if (!wait(c, clock_now() + pace * (now.slow / std::max(0.2, capacity())), life))
-      return out("left"), false;
     if (now.garbage) return out("garbage"), c.piece("data: {\"choices\":[{\"delta\":\n\n") && false;
     if (now.cut && k > n / 2) return out("cut"), false;
     Json chunk{{"id", a.name}, {"object", "chat.completion.chunk"}};
@@ -508,4 +559,75 @@
   return c.piece(http::event_text("", usage.dump()) + http::event_text("", "[DONE]")) && c.end_stream();
 }
 
+// ---- emulated
+
+Emulated::Word EngineStandin::await(const Asked& a, http::ServerConnection& c, emulator::JobId job,
+                                    int life) {
+  using What = Emulated::Word::What;
+  for (;;) {
+    const auto word = emulated_->next(job, clock_now() + Span::millis(20));
+    if (word.what == What::Lost) return note("send_end", a.name, a.mark, "left"), word;
+    if (word.what != What::Nothing) return word;
+    if (wait(c, clock_now(), life)) continue;
+    emulated_->cancel(job);
+    return note("send_end", a.name, a.mark, "left"), Emulated::Word{What::Lost, 0};
+  }
+}
+
+bool EngineStandin::emulated_read(const Asked& a, http::ServerConnection& c, int life) {
+  using What = Emulated::Word::What;
+  if (options_.stage == Stage::Write) return refuse(a, c, 400, "no_reader");
+  const auto job = emulated_->submit(emulator::Job::Kind::Read, a.chain, 1, false);
+  const auto word = await(a, c, job, life);
+  if (word.what == What::Lost) return false;
+  if (word.what != What::ReadDone) return refuse(a, c, 429, "queue_full");
+  {
+    const std::lock_guard lock(mutex_);
+    if (chains_.size() < 10000) chains_.push_back(a.chain);
+  }
+  const double blocks = static_cast<double>(std::max<std::size_t>(1, a.chain.size()));
+  if (!hold(a.name, a.tokens, false, job)) {
+    emulated_->take_state(job);
+    return refuse(a, c, 429, "queue_full");
+  }
+  return answer_read(a, c, a.tokens * static_cast<double>(word.found) / blocks);
+}
+
+bool EngineStandin::emulated_write(const Asked& a, http::ServerConnection& c, int life) {
+  using What = Emulated::Word::What;
+  if (options_.stage == Stage::Read) return refuse(a, c, 400, "no_writer");
+  const bool fetches = !a.state_name.empty();
+  if (options_.stage == Stage::Write && !fetches) return refuse(a, c, 409, "kv_state_gone");
+  if (!a.place.empty()) unhold(a.place, "taken");
+  const int n = std::max(1, std::min(a.answer_tokens, 3 + static_cast<int>(a.tokens) % 40));
+  const auto job = emulated_->submit(fetches ? emulator::Job::Kind::Write : emulator::Job::Kind::Whole,
+                                     a.chain, static_cast<std::uint32_t>(n), fetches);
+  // Words until its first token: a read of its own, or the fetch of its state.
+  for (bool first = false; !first;) {
+    const auto word = await(a, c, job, life);
+    if (word.what == What::Lost) return false;
+    if (word.what == What::Full) return refuse(a, c, 429, "queue_full");
+    if (word.what == What::Gone) return refuse(a, c, 409, "kv_state_gone");
+    if (word.what == What::WantState) emulated_->state(job, fetch(a));
+    first = word.what == What::Token;
+  }
+  const auto out = [&](const std::string& how) {
+    if (how != "completed") emulated_->cancel(job);
+    note("send_end", a.name, a.mark, how);
+  };
+  take_effect(a);
+  if (!c.begin_stream(200, {{"content-type", "text/event-stream"}})) return out("left"), false;
+  const auto await_token = [&](int k) {
+    while (k > 0 && k < n) {
+      const auto word = await(a, c, job, life);
+      if (word.what == What::Lost) return false;
+      if (word.what == What::Token) break;
+    }
+    return true;
+  };
+  const bool whole = stream(a, c, n, await_token, out);
+  emulated_->cancel(job);  // its words
+  return whole;
+}
+
 }  // namespace calicograde::lab
--- a/src/lab/engine_standin.hpp
+++ b/src/lab/engine_standin.hpp
@@ -16,6 +16,7 @@
 
 #include "core/types.hpp"
 #include "http/http.hpp"
+#include "lab/emulated.hpp"
 #include "lab/record.hpp"
 #include "net/socket.hpp"
 #include "prefix/index.hpp"
@@ -39,6 +40,7 @@
   Span cold = Span::millis(12000), fall = Span::millis(1500);
   bool release = true, places = false, reports = false, cache_events = false;
   std::uint64_t seed = 1;
+  bool emulated = false;  // works as docs/emulator.md says, in place of the small model
 };
 
 // What is wrong with an engine just now.
@@ -72,6 +74,7 @@
     double tokens = 0;
     bool place = false;
     Instant until;
+    emulator::JobId job = 0;  // whose state it is, where the engine is emulated
   };
   struct Asked;
   void accept(std::shared_ptr<net::Listener> listener, int life);
@@ -79,11 +82,21 @@
   bool answer(const http::Request& request, http::ServerConnection& c, int life, Instant came);
   bool read(const Asked& a, http::ServerConnection& c, int life);
   bool write(const Asked& a, http::ServerConnection& c, int life);
+  bool emulated_read(const Asked& a, http::ServerConnection& c, int life);
+  bool emulated_write(const Asked& a, http::ServerConnection& c, int life);
+  bool answer_read(const Asked& a, http::ServerConnection& c, double kept);
+  bool fetch(const Asked& a);
+  // From here on it runs: the effect counts, unless the group remembers the key.
+  void take_effect(const Asked& a);
+  bool stream(const Asked& a, http::ServerConnection& c, int tokens, const std::function<bool(int)>& await,
+              const std::function<void(const std::string&)>& out);
+  // Its next word, while the client is there and the engine lives; what ends it otherwise is noted.
+  Emulated::Word await(const Asked& a, http::ServerConnection& c, emulator::JobId job, int life);
   bool respond(http::ServerConnection& c, int status, const std::string& body);
   bool refuse(const Asked& a, http::ServerConnection& c, int status, const std::string& code);
   // Sleeps until then, or less: false if the peer left or the engine went down.
   bool wait(http::ServerConnection& c, Instant until, int life);
-  bool hold(const std::string& name, double tokens, bool place);
+  bool hold(const std::string& name, double tokens, bool place, emulator::JobId job = 0);
   bool unhold(const std::string& name, const std::string& how);
   double held_tokens();
   double capacity();  // share of the warm one; under the lock
@@ -120,6 +133,7 @@
   int reading_ = 0, writing_ = 0, waiting_ = 0;
   std::string last_report_;
   std::mt19937 random_;
+  std::unique_ptr<Emulated> emulated_;  // never called under mutex_, which its events take
 };
 
 }  // namespace calicograde::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -8,11 +8,13 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "emulator/experiment.hpp"
 #include "lab/client.hpp"
 #include "lab/day.hpp"
+#include "lab/load.hpp"
 #include "lab/measure.hpp"
 #include "net/clock.hpp"
 #include "version.hpp"
@@ -145,6 +147,46 @@
   return 1;
 }
 
+struct LoadWords {
+  std::string fronts, length = "30s", replay, record, budget = "10s", target = "1500ms";
+  std::uint64_t seed = 1;
+};
+
+int load(const LoadWords& w, lab::LoadOptions o, const emulator::LoadShape& shape) {
+  const auto length = settings::parse_time(w.length), budget = settings::parse_time(w.budget),
+             target = settings::parse_time(w.target);
+  if (!length || !budget || !target)
+    return std::fprintf(stderr, "--for, --budget, --target: write a number and a unit, such as 10s\n"), 64;
+  o.budget = *budget, o.target = *target;
+  std::vector<settings::Fault> faults;
+  std::vector<emulator::Arrival> rows;
+  if (!w.replay.empty()) {
+    const auto text = settings::read_file(w.replay, faults);
+    if (auto read = text ? emulator::read_arrivals(w.replay, *text, faults) : std::nullopt)
+      rows = std::move(*read);
+  } else {
+    rows = emulator::arrivals(shape, w.seed, *length);
+  }
+  for (const auto& f : faults) std::fprintf(stderr, "%s\n", settings::text_of(f).c_str());
+  if (!faults.empty()) return 2;
+  if (!w.record.empty()) {
+    std::ofstream file(w.record);
+    file << emulator::text_of(rows);
+    if (!file.flush()) return std::fprintf(stderr, "%s: cannot be written\n", w.record.c_str()), 3;
+  }
+  std::string one;
+  for (const char c : w.fronts + ",") {
+    if (c != ',') {
+      one += c;
+      continue;
+    }
+    const auto at = net::parse_address(one);
+    if (!at) return std::fprintf(stderr, "'%s' is no address; write HOST:PORT\n", one.c_str()), 64;
+    o.fronts.push_back(*at), one.clear();
+  }
+  return lab::play_load(o, rows, stdout);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -199,6 +241,36 @@
   experiment_cmd->add_option("--out", out_folder, "folder of the runs, tables and charts");
   experiment_cmd->add_option("--threads", threads, "runs at a time")->check(CLI::Range(1, 256));
   experiment_cmd->add_flag("--report", only_report, "tables and charts only, from runs kept before");
+  LoadWords words;
+  lab::LoadOptions loaded;
+  emulator::LoadShape shape;
+  auto* load_cmd = app.add_subcommand(
+      "load", "play open-loop arrivals against fronts; times count from when each call was due");
+  load_cmd->add_option("--front", words.fronts, "HOST:PORT, more with commas between")->required();
+  load_cmd->add_option("--model", loaded.model, "the model to name");
+  load_cmd->add_option("--for", words.length, "how long arrivals are made, with its unit");
+  load_cmd->add_option("--seed", words.seed, "the same seed gives the same arrivals");
+  load_cmd->add_option("--sessions", shape.sessions_a_s, "sessions begun a second")
+      ->check(CLI::Range(0.001, 1e5));
+  load_cmd->add_option("--turns", shape.turns, "of a session, mean")->check(CLI::Range(1.0, 1000.0));
+  load_cmd->add_option("--think", shape.think_s, "seconds between turns, mean")->check(CLI::Range(0.0, 1e4));
+  load_cmd->add_option("--openings", shape.openings, "shared texts")->check(CLI::Range(1, 1000000));
+  load_cmd->add_option("--zipf", shape.zipf, "how unevenly they are shared")->check(CLI::Range(0.0, 5.0));
+  load_cmd->add_option("--opening-tokens", shape.opening_tokens, "median")->check(CLI::Range(1.0, 1e6));
+  load_cmd->add_option("--turn-tokens", shape.turn_tokens, "median")->check(CLI::Range(1.0, 1e6));
+  load_cmd->add_option("--answer-tokens", shape.answer_tokens, "median")->check(CLI::Range(1.0, 1e6));
+  load_cmd->add_option("--burst", shape.burst, "rate times this in bursts")->check(CLI::Range(0.0, 1000.0));
+  load_cmd->add_option("--burst-for", shape.burst_s, "seconds of burst in each 30")
+      ->check(CLI::Range(0.0, 30.0));
+  load_cmd->add_option("--ramp", shape.ramp, "the rate at the end, times the one at the start")
+      ->check(CLI::Range(0.0, 1000.0));
+  load_cmd->add_option("--replay", words.replay, "arrivals recorded before, CSV, in place of made ones");
+  load_cmd->add_option("--record", words.record, "write the arrivals that are played to this file, CSV");
+  load_cmd->add_option("--rows", loaded.rows, "write what each call came to, CSV");
+  load_cmd->add_option("--budget", words.budget, "of each call");
+  load_cmd->add_option("--target", words.target, "of the first token");
+  load_cmd->add_option("--open", loaded.open, "calls open at once, at the most")
+      ->check(CLI::Range(1, 100000));
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -222,6 +294,7 @@
       const Folder folder;
       return lab::measure(measured, daemon, folder.path());
     }
+    if (*load_cmd) return load(words, loaded, shape);
     if (*experiment_cmd) return experiment(file, out_folder, threads, only_report);
     const auto plan = plan_of(file);
     if (!plan) return 2;
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -71,7 +71,7 @@
       o.read_per_s = e->number("read-per-s", o.read_per_s);
       o.token = e->time("token", o.token), o.rate = e->number("rate", o.rate);
       o.places = e->flag("places", false), o.reports = e->flag("reports", false);
-      o.cache_events = e->flag("cache-events", false);
+      o.cache_events = e->flag("cache-events", false), o.emulated = e->flag("emulated", false);
       o.cold_from = p.rules.cold_from, o.fall_multiple = p.rules.fall_multiple, o.cold = p.rules.cold,
       o.fall = p.rules.fall;
       o.seed = p.seed * 1000 + p.engines.size();
--- a/tests/program/front_test.cpp
+++ b/tests/program/front_test.cpp
@@ -105,6 +105,25 @@
 const std::string good_body =
     R"({"model":"member-chat","max_tokens":4,"messages":[{"role":"user","content":"hi"}]})";
 
+// The emulator's engine behind a socket: it reads, hands over, streams; a text that it keeps is found again;
+// a restart empties it.
+TEST(Front, AnswersThroughEmulatedEngines) {
+  auto plan = lab::small_plan();
+  for (auto& e : plan.engines) e.emulated = true;
+  Rig rig(plan);
+  auto c = rig.ask("a");
+  c.text = std::string(4000, 'x');
+  const auto end = lab::call(c, rig.records);
+  EXPECT_EQ(end.how, "completed");
+  EXPECT_EQ(end.text.substr(0, 6), "w0 w1 ");
+  c.mark = "b";
+  EXPECT_EQ(lab::call(c, rig.records).how, "completed");
+  for (auto& e : rig.engines) e->restart(), rig.list(*e, Lifecycle::Ready);
+  c.mark = "c", c.budget = Span::millis(10000);
+  EXPECT_EQ(lab::call(c, rig.records).how, "completed");
+  EXPECT_TRUE(rig.all_let_go());
+}
+
 TEST(Front, AnswersStreamedAndWhole) {
   Rig rig;
   auto c = rig.ask("a");
