Tiers of halls, a bound on spill, adaptive caps, a budget of repeated sends

Change: src/limits (knee, caps, spill), free of I/O; front/bounds feeds it and marks what a cap refuses.

--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -74,6 +75,7 @@
   Span link_idle;
   double far_price = 0;
   double zone_price = 0;
+  double repeat_share = 0;  // repeated sends for each first one, at the most; 0 = no such bound
 };
 
 // What happened.
@@ -111,6 +113,7 @@
   // none. None = there is no index. `kept_surely`: no engine keeps what this front has not heard of.
   std::optional<std::map<EngineId, double>> kept = {};
   bool kept_surely = false;
+  bool over_limit = false;  // a cap on what may be in work says no
 };
 struct StreamStarted {
   InfId inf = 0;
@@ -143,6 +146,10 @@
   std::uint64_t version = 0;
   std::vector<EngineEntry> entries;
 };
+// Zones that a route's new pairs are not booked in, by the route's number; all are open until told.
+struct ZonesClosed {
+  std::vector<std::set<std::uint8_t>> by_route;
+};
 struct TimerFired {
   std::uint64_t token = 0;
 };
@@ -157,7 +164,7 @@
   std::string text;
 };
 using Event = std::variant<Arrived, StreamStarted, PlaceAnswered, SendEnded, ClientLeft, FleetListed,
-                           TimerFired, ProbeEnded, PeerSpoke>;
+                           TimerFired, ProbeEnded, PeerSpoke, ZonesClosed>;
 
 // What is to be done.
 struct SendTo {
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "front/bounded_queue.hpp"
+#include "front/bounds.hpp"
 #include "front/cases.hpp"
 #include "front/keys.hpp"
 #include "front/links.hpp"
@@ -279,6 +280,8 @@
           cases(name, p.routing),
           links(p.routing.link_idle, 256),
           knowledge({p.index_blocks, p.index_engines, 200000, p.routing.fronts}, p.routing.kinds, tell(p)),
+          bounds(p.caps, p.spill, p.routing, p.route_caps, p.route_tiers, zones),
+          zone_count(zones.size()),
           follower(kinds(p), zones) {
       std::vector<bool> release;
       for (const auto& k : p.kinds) release.push_back(k.release);
@@ -304,6 +307,8 @@
     AddressBook book;
     Links links;
     prefix::Knowledge knowledge;  // the owner's alone
+    Bounds bounds;                // the owner's alone
+    const std::size_t zone_count;
     std::map<EngineId, std::shared_ptr<std::atomic<bool>>>
         streams;                // of caches; the follower's thread's alone
     roster::Follower follower;  // the follower's thread's alone
@@ -342,7 +347,11 @@
           p->timers.erase(p->timers.begin());
           feed(*p, now, TimerFired{token});
         }
-        if (now - halls_at >= halls_every) judge_halls(*p, now, p->halls.tick(now));
+        if (now - halls_at >= halls_every) {
+          judge_halls(*p, now, p->halls.tick(now));
+          p->bounds.tick(now);
+          tell_bounds(*p, now);
+        }
         std::vector<Event> events;
         p->cases.overdue(now, events);
         for (const Event& e : events) feed(*p, now, e);
@@ -356,7 +365,9 @@
   void judge_halls(PoolParts& p, Instant now, const std::vector<halls::Step>& steps) {
     for (const auto& step : steps) {
       if (const auto* t = std::get_if<halls::Tell>(&step)) {
-        p.cases.listed(t->list), p.knowledge.listed(t->list);
+        p.cases.listed(t->list), p.knowledge.listed(t->list), p.bounds.listed(t->list);
+        for (std::size_t z = 0; z < p.zone_count; ++z)
+          p.bounds.hall(now, static_cast<std::uint8_t>(z), p.halls.state(static_cast<std::uint8_t>(z)));
         feed(p, now, t->list);
       } else if (const auto* l = std::get_if<halls::Look>(&step)) {
         look(p, l->engine);
@@ -366,6 +377,18 @@
     }
   }
 
+  // Zones that have closed or opened, and what is to be logged of limits.
+  void tell_bounds(PoolParts& p, Instant now) {
+    for (const auto& line : p.bounds.take_notes())
+      core.log_.line(Level::Warn, "mode", {{"pool", p.settings.name}, {"what", line}});
+    for (const Event& e : p.bounds.take_events()) feed(p, now, e);
+  }
+
+  // Nothing is left of an inference.
+  static void forget(PoolParts& p, InfId inf, Instant now) {
+    p.open.erase(inf), p.knowledge.over(inf), p.bounds.over(now, inf);
+  }
+
   // Whether anything listens at the engine; it is sent nothing.
   void look(PoolParts& p, const EngineId& engine) {
     errands.submit([this, &p, engine] {
@@ -387,6 +410,8 @@
     if (auto* t = std::get_if<Taken>(&r.what)) {
       t->what.budget = std::max(Span::micros(1), t->ticket->asked().ends - now);
       p.knowledge.arrived(t->what, t->ticket->asked().chain);
+      p.bounds.arrived(now, t->what);
+      tell_bounds(p, now);  // before it: what is closed is closed to it
       event = p.cases.take(now, t->what);
       if (event) p.open[t->what.inf].ticket = std::move(t->ticket);
       else t->ticket->answer({Final::How::Shed, Span{}, false, 0, {}});
@@ -396,6 +421,7 @@
       // An engine that reads for itself has read it now; what it had kept it does not tell before the end.
       if (engine && p.cases.is_whole(s->inf, s->send)) p.knowledge.read(s->inf, *engine, std::nullopt);
       event = p.cases.started(now, s->inf, s->send);
+      if (event) p.bounds.started(now, s->inf);
     } else if (auto* e = std::get_if<Ended>(&r.what)) {
       log_end(p, *e);
       if (const auto engine = p.cases.engine_of(e->inf, e->send)) {
@@ -424,7 +450,7 @@
     if (!about) return;
     p.cases.tidy(*about);
     carry_out(p);
-    if (!p.cases.has(*about)) p.open.erase(*about), p.knowledge.over(*about);
+    if (!p.cases.has(*about)) forget(p, *about, now);
   }
 
   static void cache_said(PoolParts& p, CacheSaid& c) {
@@ -448,12 +474,14 @@
       }
       for (auto& m : more) events.push_back(std::move(m));
       carry_out(p, &events, now);
+      for (auto& told : p.bounds.take_events()) events.push_back(std::move(told));
     }
   }
 
   void carry_out(PoolParts& p, std::deque<Event>* events = nullptr, Instant now = clock_now()) {
     for (Order& order : p.cases.take_orders()) {
       if (auto* s = std::get_if<StartSend>(&order)) {
+        p.bounds.sent(now, s->inf, s->engine);
         if (!start_send(p, *s))
           if (auto e =
                   p.cases.ended(now, s->inf, s->send, Ending{.as = EndedAs::Moot, .state = {}, .report = {}});
@@ -474,7 +502,7 @@
         if (it == p.open.end()) continue;
         it->second.ticket->answer(
             {f->shed ? Final::How::Shed : Final::How::Errored, f->retry_after, f->outcome_unknown, 0, {}});
-        if (!p.cases.has(f->inf)) p.open.erase(it), p.knowledge.over(f->inf);
+        if (!p.cases.has(f->inf)) forget(p, f->inf, now);
       } else if (const auto* t = std::get_if<ArmTimer>(&order)) {
         p.timers.emplace(now + t->in, t->token);
       } else if (const auto* d = std::get_if<DropLinks>(&order)) {
@@ -911,7 +939,7 @@
   const InfId inf = inside_->next_inf++;
   Arrived a;
   a.inf = inf, a.route = route.number;
-  a.session = asked.session, a.shared_text = asked.shared_text;
+  a.session = asked.session, a.shared_text = asked.shared_text, a.customer = asked.customer;
   a.prompt_tokens = asked.prompt_tokens, a.shared_tokens = asked.shared_tokens;
   a.max_answer_tokens = asked.prompt->max_tokens;
   auto ticket = std::make_shared<Ticket>(inf, route.pool, std::move(asked), std::move(wake));
--- a/src/front/core.hpp
+++ b/src/front/core.hpp
@@ -35,9 +35,10 @@
   double prompt_tokens = 0, shared_tokens = 0;
   std::shared_ptr<const prefix::Chain> chain;  // of the prompt's blocks; null = the pool has no index
   std::size_t prompt_bytes = 0;
-  Instant ends;            // of the client's budget
-  std::string dedupe_key;  // passed on to engines; empty = none
-  bool key_taken = false;  // an inference before it holds the client's key: it is not asked for again
+  Instant ends;                // of the client's budget
+  std::string dedupe_key;      // passed on to engines; empty = none
+  std::uint16_t customer = 0;  // by the credentials that it came with; 0 = none
+  bool key_taken = false;      // an inference before it holds the client's key: it is not asked for again
 };
 
 // An answer that has begun at an engine; read by the client's thread alone.
--- a/src/front/messages_front.cpp
+++ b/src/front/messages_front.cpp
@@ -224,6 +224,9 @@
       return refused("idempotency-key: a header of 1 to 256 characters is required for " + call.model);
     m.base.session = intake::session_key(call.user_id, call.prompt);
     m.base.shared_text = intake::shared_key(call.model, call.opening);
+    const auto key = http::header(request.headers, "x-api-key");
+    m.base.customer =
+        intake::customer_key(key.empty() ? http::header(request.headers, "authorization") : key);
     m.caller = callers_.of(m.base.session | 1);
     m.rounds.emplace(r.relay, std::move(tools), std::move(clients), arrived, *budget, call.stream,
                      call.prompt.max_tokens);
--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -78,6 +78,13 @@
   return key_of(state);
 }
 
+std::uint16_t customer_key(std::string_view credentials) {
+  if (credentials.empty()) return 0;
+  std::uint32_t h = 2166136261u;  // FNV-1a
+  for (const char c : credentials) h = (h ^ static_cast<unsigned char>(c)) * 16777619u;
+  return static_cast<std::uint16_t>(1 + (h ^ (h >> 16)) % 65535);
+}
+
 std::optional<Span> budget(const BudgetRule& rule, double prompt_tokens, std::string_view header) {
   const Span whole = rule.timeout + rule.per_1000_tokens * (prompt_tokens / 1000);
   if (header.empty()) return whole;
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -33,6 +33,10 @@
 // 0 for an opening too short to be worth keeping together.
 TextKey shared_key(std::string_view model, std::string_view opening);
 
+// A customer by the credentials that its calls come with, for limits alone; 0 = none were given. Two may fall
+// together: they then share what one may have.
+std::uint16_t customer_key(std::string_view credentials);
+
 struct BudgetRule {
   Span timeout, per_1000_tokens;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -43,6 +43,7 @@
 constexpr double writer_seconds = 1.0, far_seconds = 2.0;  // half a writer's memory, and prices, as reading
 constexpr double cold_share = 0.7, cold_surely = 0.2, cold_least = 0.3;  // of the budget; sends a window
 constexpr double silence_deviations = 6.0, failing_share = 0.25;
+constexpr double repeats_least = 10, repeats_for = 10;  // sends; seconds of first ones that fill the budget
 constexpr double needed_margin = 1.5;                   // what seems just in time is late
 constexpr double read_overhead = 500, answer_work = 8;  // of a read; of a token answered: in tokens read
 constexpr double no_rate = 10000, no_memory = 200000;   // until a read was seen; if not told
@@ -106,6 +107,7 @@
     f.answer_tokens = a.max_answer_tokens / 2;
     if (a.answer_hint && r.token_pace > Span{})
       f.answer_tokens = std::clamp(*a.answer_hint / r.token_pace, 1.0, std::max(1.0, a.max_answer_tokens));
+    if (a.over_limit) return finish(f, true);
     if (a.budget <= answer_margin + tick) finish(f);
     f.home = home(a);
     if (f.phase != Phase::Over) book_siblings(f);
@@ -194,6 +196,7 @@
     for (auto& [id, f] : infs_) look_after(f);
   }
 
+  void on(const ZonesClosed& e) { closed_zones_ = e.by_route; }
   void on(const auto&) {}
 
   // Serves the queues: where a pair is free it is booked, the rest is held before the read.
@@ -237,9 +240,9 @@
       const bool waits = holding_ && f.what.kept;
       double least = never;
       for (auto& [id, e] : engines_)
-        if (waits && e.reads && usable(f, id, e, any)) least = std::min(least, to_read(f, e));
+        if (waits && e.reads && usable(f, id, e, any) && !shut(f, e)) least = std::min(least, to_read(f, e));
       for (auto& [id, e] : engines_) {
-        if (!usable(f, id, e, any)) continue;
+        if (!usable(f, id, e, any) || shut(f, e)) continue;
         Candidate c{id, &e, e.reads && !reader_full(e, f), e.writes && !writer_full(e, f)};
         c.reads = c.reads && (!waits || to_read(f, e) <= least + read_overhead);
         if (c.reads) c.read = reader_cost(f, e) + way_cost(nullptr, e);
@@ -568,7 +571,7 @@
       peers += other.lifecycle == Lifecycle::Ready && (reads ? other.reads : other.writes);
     const double window = s_.fall.seconds(), fronts = s_.fronts;
     const double mean = (reads ? reading_ : writing_).a_second * fronts * window / std::max(1.0, peers);
-    const double budget = s_.fall_multiple * s_.cold_from * mean, part = cold_share * budget;
+    const double budget = s_.fall_multiple * mean / coldness(e), part = cold_share * budget;
     const double chance = 3 * std::sqrt(std::min(part, fronts / 4));
     const double allowed = std::max({std::min(part, budget - chance), cold_surely * budget, cold_least});
     const Span since = now_ - e.last_send.value_or(e.heard);
@@ -580,6 +583,12 @@
     return any || (!f.failed_at.contains(id) && (!e.doubted || now_ >= e.next_trial));
   }
 
+  // A zone that new pairs of the route keep out of (ZonesClosed); a pair that is booked there ends there.
+  bool shut(const Inference& f, const Engine& e) const {
+    const std::size_t k = f.what.route;
+    return k < closed_zones_.size() && closed_zones_[k].contains(e.entry.zone);
+  }
+
   // Whether the role has sound engines that are only full, so that waiting makes sense.
   bool merely_full(const Inference& f, bool read) const {
     return std::any_of(engines_.begin(), engines_.end(), [&](const auto& known) {
@@ -606,10 +615,13 @@
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return false;
     if (static_cast<int>(f.sends.size()) >= s_.max_sends || f.ends - now_ <= answer_margin) return false;
     if (!s_.second_copies && f.any_out()) return false;
+    if (!f.failed_at.empty() && !may_repeat()) return false;
     return route(f.what).effect != Effect::NonRetriable ||
            !f.any([](const Send& s) { return s.out || s.ran; });
   }
 
+  bool may_repeat() const { return s_.repeat_share <= 0 || repeats_ >= 1; }
+
   bool may_shed(const Inference& f) const {
     const ModelRoute& r = route(f.what);
     if (r.effect == Effect::Retriable) return true;
@@ -624,6 +636,9 @@
     else if (own != e.reading.end()) s.work = own->second.first;
     if (const Engine* from = !to_reader && f.state_at ? engine(*f.state_at) : nullptr)
       s.far = from->entry.rack != e.entry.rack;
+    // Repeats come out of a budget that first sends fill: many failures at once make no storm of sends.
+    const double most = std::max(repeats_least, repeats_for * s_.repeat_share * reading_.a_second);
+    repeats_ = std::min(most, repeats_ + (f.failed_at.empty() ? s_.repeat_share : -1.0));
     f.sends.push_back(s);
     e.awaited[{f.what.inf, f.sends.size() - 1}] = now_;
     ++e.out, e.last_send = now_;
@@ -755,7 +770,7 @@
       const Engine* e = engine(s.engine);
       if (!s.out || s.cancelled || f.failed_at.contains(s.engine)) continue;
       if (e && (!e->doubted || now_ - s.at < patience(*e))) continue;
-      if (s_.second_copies && !may_send(f)) return;
+      if (s_.second_copies && !(may_send(f) && may_repeat())) return;
       f.failed_at.insert(s.engine);
       if (s_.second_copies && s.to_reader) return second_read(f);
       cancel(f, f.sends[k]);  // its outcome brings the next send, if this does not
@@ -829,6 +844,8 @@
   double unseen_wait_ = 0;   // what reads lately took beyond what this front had booked there
   double far_extra_ = 0;     // what moves to another rack lately took longer than those within one
   double link_cost_ = 0;
+  double repeats_ = repeats_least;                    // that may be sent now
+  std::vector<std::set<std::uint8_t>> closed_zones_;  // by route
   LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_{samples_kept},
       homes_{bookings_kept};
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "core/pattern.hpp"
@@ -171,6 +172,19 @@
         fault(*h, "window, hold or stage is 0", "every one needs a time above 0");
       if (r.most_hold < r.first_hold) fault(*h, "hold-most is below hold", "raise hold-most");
     }
+    if (const auto* c = e.child("caps")) caps(*c, out.caps);
+    if (const auto* x = e.child("spill")) {
+      limits::SpillRules& r = out.spill;
+      r.bound = x->number("bound", r.bound), r.floor = x->number("floor", r.floor);
+      r.fill = x->number("fill", r.fill);
+      r.high = x->number("high", r.high), r.low = x->number("low", r.low);
+      r.hold = x->time("hold", r.hold), r.most_hold = x->time("hold-most", r.most_hold);
+      if (r.bound > 1) fault(*x, "bound is " + x->text("bound"), "give a share of at most 1");
+      if (r.floor > 1) fault(*x, "floor is " + x->text("floor"), "give a share of at most 1");
+      if (r.low >= r.high) fault(*x, "low is not below high", "a tier must close at less than it opens at");
+      if (r.hold <= Span{} || r.most_hold < r.hold)
+        fault(*x, "hold is 0, or hold-most below it", "give hold a time, and hold-most no less");
+    }
     const Element none;
     const Element* rules = e.child("rules");
     if (!rules) rules = &none;
@@ -187,6 +201,7 @@
             "the module looks every 20ms and needs 60ms: give 150ms or more");
     if (s.fall <= Span{})
       fault(*rules, "fall is 0", "give the length of the window over which a cold engine falls");
+    out.spill.cold = s.cold, out.spill.cold_from = s.cold_from;
     const Element* sends = e.child("sends");
     if (!sends) sends = &none;
     s.max_sends = static_cast<int>(count(*sends, "most", 6, 100));
@@ -194,6 +209,8 @@
     s.may_cancel = sends->flag("cancel", true);
     s.writers_read = sends->flag("writers-read", false);
     s.sizes_told = sends->flag("sizes-told", false);
+    s.repeat_share = sends->number("repeats", 0);
+    if (s.repeat_share > 10) fault(*sends, "repeats is " + sends->text("repeats"), "give at most 10");
     out.connect = sends->time("connect", out.connect);
     s.link_idle = sends->time("link-idle", Span::millis(15000));
     s.max_retry_after = sends->time("retry-after-most", Span::millis(1000));
@@ -214,6 +231,50 @@
     return out;
   }
 
+  void caps(const Element& e, limits::CapRules& r) {
+    r.on = e.flag("on", true);
+    r.knee.by =
+        e.text("by", "aimd") == "gradient" ? limits::KneeRules::By::Gradient : limits::KneeRules::By::Aimd;
+    r.knee.first = e.number("first", r.knee.first), r.knee.least = e.number("least", r.knee.least);
+    r.knee.most = e.number("most", r.knee.most),
+    r.knee.late_share = e.number("late-share", r.knee.late_share);
+    r.knee.window = e.time("window", r.knee.window);
+    r.floor = e.number("floor", r.floor), r.headroom = e.number("headroom", r.headroom);
+    r.customer_share = e.number("customer-share", r.customer_share);
+    for (const char* name : {"late-share", "floor", "headroom", "customer-share"})
+      if (e.number(name, 0) > 1)
+        fault(e, std::string(name) + " is " + e.text(name), "give a share of at most 1");
+    if (r.knee.least > r.knee.first || r.knee.first > r.knee.most)
+      fault(e, "first is not between least and most", "give least <= first <= most");
+    if (r.knee.window < Span::millis(50)) fault(e, "window is under 50ms", "give 50ms or more");
+  }
+
+  // The tiers of zones that a route prefers; those it names nowhere are closed to it.
+  limits::RouteTiers tiers(const Element& e, const Front& front) {
+    limits::RouteTiers out;
+    std::set<std::uint8_t> named;
+    for (const auto* p : e.all("prefer")) {
+      std::set<std::uint8_t> tier;
+      std::string word;
+      for (const char c : p->text("zones") + " ") {
+        if (c != ' ') {
+          word += c;
+          continue;
+        }
+        if (word.empty()) continue;
+        const int z = index(front.zones, word);
+        if (z < 0) fault(*p, "unknown zone '" + word + "'", "name it under <zones>");
+        else if (!named.insert(static_cast<std::uint8_t>(z)).second)
+          fault(*p, "zone '" + word + "' stands in two tiers", "remove one");
+        else tier.insert(static_cast<std::uint8_t>(z));
+        word.clear();
+      }
+      if (tier.empty()) fault(*p, "a tier without a zone", "name zones, with spaces between");
+      out.tiers.push_back(std::move(tier));
+    }
+    return out;
+  }
+
   void route(const Element& e, Front& out) {
     Route r;
     r.name = e.text("name"), r.model = e.text("model"), r.engine_model = e.text("engine-model");
@@ -272,6 +333,10 @@
       r.pool = static_cast<std::size_t>(at - out.pools.begin());
       r.number = static_cast<std::uint16_t>(at->routing.routes.size());
       at->routing.routes.push_back(m);
+      at->route_caps.push_back({m.value, count(e, "most-in-work", 0, 1e6)});
+      auto preferred = tiers(e, out);
+      preferred.value = m.value;
+      at->route_tiers.push_back(std::move(preferred));
     }
     out.routes.push_back(std::move(r));
   }
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -7,6 +7,8 @@
 #include "core/types.hpp"
 #include "halls/halls.hpp"
 #include "http/http.hpp"
+#include "limits/caps.hpp"
+#include "limits/spill.hpp"
 #include "net/socket.hpp"
 #include "rounds/rounds.hpp"
 #include "settings/xml.hpp"
@@ -31,6 +33,10 @@
   // What a lost hall is; and the index of prompts: bytes of a block, blocks kept in all (0 = no index),
   // engines that it knows of.
   halls::Rules halls;
+  limits::CapRules caps;
+  limits::SpillRules spill;
+  std::vector<limits::RouteCap> route_caps;  // by the route's number, as the next
+  std::vector<limits::RouteTiers> route_tiers;
   std::size_t index_block = 256, index_blocks = 1000000, index_engines = 1024;
 };
 
