--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -150,6 +150,10 @@
 struct ZonesClosed {
   std::vector<std::set<std::uint8_t>> by_route;
 };
+// How many fronts there are, this one among them; the settings' count until told.
+struct FrontsCounted {
+  int fronts = 1;
+};
 struct TimerFired {
   std::uint64_t token = 0;
 };
@@ -164,7 +168,7 @@
   std::string text;
 };
 using Event = std::variant<Arrived, StreamStarted, PlaceAnswered, SendEnded, ClientLeft, FleetListed,
-                           TimerFired, ProbeEnded, PeerSpoke, ZonesClosed>;
+                           TimerFired, ProbeEnded, PeerSpoke, ZonesClosed, FrontsCounted>;
 
 // What is to be done.
 struct SendTo {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,6 +9,8 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
+#include "files/atomic_file.hpp"
+#include "front/admin_front.hpp"
 #include "front/core.hpp"
 #include "front/messages_front.hpp"
 #include "front/server.hpp"
@@ -22,6 +24,18 @@
 
 constexpr int wrong_settings = 2, cannot_start = 3, cut_short = 4;
 
+// Empty = anybody who reaches the socket, which only its owner does.
+std::string token_of(const settings::Admin& admin) {
+  if (admin.token_file.empty()) return {};
+  std::string wrong;
+  const auto text = files::read_small(admin.token_file, wrong, 4096);
+  if (!text) throw std::runtime_error(wrong.empty() ? admin.token_file + ": no such file" : wrong);
+  const std::string token = text->substr(0, text->find_first_of("\r\n"));
+  if (token.size() < 16)
+    throw std::runtime_error(admin.token_file + ":1: the token has under 16 characters; write a longer one");
+  return token;
+}
+
 int run(const std::string& file, bool with_parent) {
   std::vector<settings::Fault> faults;
   const auto settings = settings::load_file(file, faults);
@@ -53,10 +67,25 @@
     // A front that no roster has told of any engine yet can only shed; it listens once one has, or after a
     // while.
     core.wait_for_rosters(net::clock_now() + Span::millis(5000));
+    // Before it listens: a drain that stands from the last start refuses from the first connection on.
+    const auto& admin = settings->admin;
+    front::Draining draining(
+        core, [&server] { return server.in_work(); },
+        admin && !admin->state.empty() ? admin->state + "/drain.json" : "");
+    std::unique_ptr<front::Server> admin_server;
+    if (admin) {
+      std::vector<std::unique_ptr<front::Protocol>> operators;
+      operators.push_back(front::admin_front(core, draining, server, token_of(*admin)));
+      admin_server =
+          std::make_unique<front::Server>(core, std::move(operators), admin->listen, admin->connections);
+      admin_server->start();
+    }
     server.start();
     std::string where;
     for (const auto& a : server.addresses()) where += (where.empty() ? "\"" : ",\"") + net::text_of(a) + "\"";
-    std::printf("{\"listening\":[%s],\"pid\":%d}\n", where.c_str(), getpid());
+    std::string operators;
+    if (admin_server) operators = ",\"admin\":\"" + net::text_of(admin_server->addresses().at(0)) + "\"";
+    std::printf("{\"listening\":[%s]%s,\"pid\":%d}\n", where.c_str(), operators.c_str(), getpid());
     std::fflush(stdout);
     log.line(log::Level::Info, "ready", {{"front", settings->name}, {"version", version}});
     pollfd p{signals.get(), POLLIN, 0};
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -3,6 +3,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -15,6 +16,7 @@
 #include "front/keys.hpp"
 #include "front/links.hpp"
 #include "front/workers.hpp"
+#include "membership/membership.hpp"
 #include "net/clock.hpp"
 #include "net/thread.hpp"
 #include "prefix/knowledge.hpp"
@@ -115,6 +117,12 @@
     const auto it = book_.find(id);
     return it == book_.end() ? std::nullopt : std::optional(it->second);
   }
+  std::optional<EngineId> named(const std::string& address) const {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, at] : book_)
+      if (net::text_of(at) == address) return id;
+    return std::nullopt;
+  }
 
  private:
   mutable std::mutex mutex_;
@@ -145,6 +153,7 @@
 };
 struct Heard {
   FleetListed list;
+  std::optional<std::vector<std::string>> fronts;
 };
 struct CacheSaid {
   EngineId engine;
@@ -155,9 +164,13 @@
   EngineId engine;
   halls::Sign sign = halls::Sign::Silent;
 };
+// Something that the owner is to do between two events.
+struct Errand {
+  std::function<void(Instant)> what;
+};
 struct Report {
   std::size_t pool = 0;
-  std::variant<Taken, Started, Ended, PlaceSaid, Gone, Heard, CacheSaid, Looked> what;
+  std::variant<Taken, Started, Ended, PlaceSaid, Gone, Heard, CacheSaid, Looked, Errand> what;
 };
 
 }  // namespace
@@ -320,7 +333,8 @@
         settings(s),
         queue(s.queue),
         workers(s.sends, s.stack),
-        errands(errand_threads, s.stack, errands_waiting) {
+        errands(errand_threads, s.stack, errands_waiting),
+        membership(s.of, {}) {
     std::random_device chance;
     char stamp[32];
     std::snprintf(stamp, sizeof stamp, "%08x", chance());
@@ -357,7 +371,7 @@
         for (const Event& e : events) feed(*p, now, e);
         carry_out(*p);
       }
-      if (now - halls_at >= halls_every) halls_at = now;
+      if (now - halls_at >= halls_every) halls_at = now, count_fronts(now);
     }
   }
 
@@ -377,6 +391,14 @@
     }
   }
 
+  // The number of fronts, where it changed, reaches all modules.
+  void count_fronts(Instant now) {
+    const auto [count, line] = membership.count(now);
+    if (line.empty()) return;
+    core.log_.line(Level::Warn, "mode", {{"pool", "all"}, {"what", line}});
+    for (const auto& p : pools) p->knowledge.fronts(count), feed(*p, now, FrontsCounted{count});
+  }
+
   // Zones that have closed or opened, and what is to be logged of limits.
   void tell_bounds(PoolParts& p, Instant now) {
     for (const auto& line : p.bounds.take_notes())
@@ -441,8 +463,15 @@
       about = g->inf;
     } else if (auto* h = std::get_if<Heard>(&r.what)) {
       judge_halls(p, now, p.halls.listed(now, h->list));
+      if (h->fronts) {
+        const auto& names = *h->fronts;
+        membership.roster(now, static_cast<int>(names.size()),
+                          std::find(names.begin(), names.end(), settings.name) != names.end());
+        count_fronts(now);
+      }
     }
     if (auto* c = std::get_if<CacheSaid>(&r.what)) cache_said(p, *c);
+    if (const auto* x = std::get_if<Errand>(&r.what)) x->what(now);
     if (const auto* l = std::get_if<Looked>(&r.what))
       judge_halls(p, now, p.halls.met(now, l->engine, l->sign));
     if (event) feed(p, now, *event);
@@ -749,7 +778,8 @@
                     {"version", static_cast<std::int64_t>(followed.listed->version)},
                     {"lines", static_cast<std::int64_t>(followed.listed->entries.size())}});
     follow_caches(p, *followed.listed);
-    queue.put({index, Heard{std::move(*followed.listed)}});
+    queue.put(
+        {index, Heard{std::move(*followed.listed), std::move(std::get<roster::Document>(parsed).fronts)}});
     p.heard = true;
   }
 
@@ -896,7 +926,8 @@
   std::map<InfId, std::weak_ptr<Ticket>> tickets;
   std::vector<std::thread> threads;
   std::atomic<int> cache_threads = 0;
-  Instant halls_at;  // the owner's alone
+  Instant halls_at;                   // the owner's alone
+  membership::Membership membership;  // the owner's alone
 };
 
 Core::Core(const settings::Front& settings, log::Log& log)
@@ -933,7 +964,6 @@
 
 Core::Opened Core::open(Asked asked, std::shared_ptr<const net::Wake> wake) {
   using Why = Opened::Why;
-  if (refusing_) return {Why::Full, nullptr};
   const auto& route = settings_.routes[asked.route];
   const ModelRoute& rules = settings_.pools[route.pool].routing.routes[route.number];
   const InfId inf = inside_->next_inf++;
@@ -942,9 +972,11 @@
   a.session = asked.session, a.shared_text = asked.shared_text, a.customer = asked.customer;
   a.prompt_tokens = asked.prompt_tokens, a.shared_tokens = asked.shared_tokens;
   a.max_answer_tokens = asked.prompt->max_tokens;
-  auto ticket = std::make_shared<Ticket>(inf, route.pool, std::move(asked), std::move(wake));
+  auto ticket = std::make_shared<Ticket>(inf, clock_now(), route.pool, std::move(asked), std::move(wake));
   {
     const std::lock_guard lock(inside_->tickets_mutex);
+    // Under the lock, as refuse_new() is: once it returned, whoever counts the tickets counts all.
+    if (refusing_ && !(ticket->asked().goes_on && !aborting_)) return {Why::Full, nullptr};
     if (inside_->tickets.size() >= settings_.held) return {Why::Full, nullptr};
     if (rules.effect == Effect::Deduped && !ticket->asked().key_taken) {
       const auto says = inside_->keys.ask(clock_now(), route.name, ticket->asked().dedupe_key,
@@ -1008,7 +1040,169 @@
   return inside_->meter.estimate(settings_.routes[route].name, bytes);
 }
 
-void Core::refuse_new() { refusing_ = true; }
+void Core::refuse_new() {
+  const std::lock_guard lock(inside_->tickets_mutex);
+  refusing_ = true;
+}
+
+void Core::take_new() {
+  const std::lock_guard lock(inside_->tickets_mutex);
+  refusing_ = aborting_ = false;
+}
+
+// ---- for operators
+
+bool Core::with_owner(const std::function<void(Instant)>& what, Instant deadline) {
+  struct Done {
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool done = false, dropped = false;
+  };
+  const auto done = std::make_shared<Done>();
+  // Not begun once the deadline is over: what it writes to may be gone then.
+  const auto errand = [what, done](Instant now) {
+    const std::lock_guard lock(done->mutex);
+    if (done->dropped) return;
+    what(now);
+    done->done = true;
+    done->changed.notify_all();
+  };
+  if (!inside_->queue.offer({0, Errand{errand}})) return false;
+  std::unique_lock lock(done->mutex);
+  const Span left = deadline - clock_now();
+  done->changed.wait_for(
+      lock, std::chrono::microseconds(static_cast<std::int64_t>(std::max(0.0, left.as_millis()) * 1000)),
+      [&] { return done->done; });
+  done->dropped = !done->done;
+  return done->done;
+}
+
+std::optional<std::vector<Core::PoolStatus>> Core::status(Instant deadline) {
+  std::vector<PoolStatus> out;
+  const auto copy = [&](Instant) {
+    for (const auto& p : inside_->pools) {
+      PoolStatus s;
+      s.name = p->settings.name, s.heard = p->heard, s.cut_off = p->halls.cut_off();
+      s.open = p->cases.open(), s.holdings = p->cases.holdings();
+      const auto& spill = p->bounds.spill();
+      for (std::size_t z = 0; z < settings_.zones.size(); ++z) {
+        const auto id = static_cast<std::uint8_t>(z);
+        const auto state = p->halls.state(id);
+        s.halls.push_back({settings_.zones[z],
+                           state == halls::State::Up     ? "up"
+                           : state == halls::State::Lost ? "lost"
+                                                         : "returning",
+                           p->halls.held_by_hand(id), spill.in_work(id), spill.spilled(id),
+                           spill.on() ? spill.capacity(id) : 0});
+      }
+      s.cap = p->bounds.caps().cap(), s.cap_on = p->settings.caps.on, s.in_work = p->bounds.caps().in_work(),
+      s.refused = p->bounds.caps().refused();
+      for (const auto& r : settings_.routes) {
+        if (settings_.pools[r.pool].name != s.name) continue;
+        std::vector<std::string> zones;
+        for (std::size_t z = 0; z < settings_.zones.size(); ++z)
+          if (spill.closed(r.number, static_cast<std::uint8_t>(z))) zones.push_back(settings_.zones[z]);
+        if (!zones.empty()) s.closed.emplace_back(r.name, std::move(zones));
+      }
+      out.push_back(std::move(s));
+    }
+  };
+  if (!with_owner(copy, deadline)) return std::nullopt;
+  return out;
+}
+
+std::optional<std::vector<Core::Judged>> Core::engines(std::size_t pool, std::optional<EngineId> after,
+                                                       std::size_t most, Instant deadline) {
+  std::vector<Judged> out;
+  const auto copy = [&](Instant now) {
+    const auto& p = *inside_->pools[pool];
+    for (auto& v : view_engines(p.router, now, after, most)) {
+      Judged j;
+      j.by_hand = p.halls.held_by_hand(v.entry.engine), j.withheld = p.halls.withheld(v.entry.engine);
+      const auto at = p.book.find(v.entry.engine);
+      j.address = at ? net::text_of(*at) : "?";
+      if (v.entry.kind < p.settings.kinds.size()) j.kind = p.settings.kinds[v.entry.kind].name;
+      if (v.entry.zone < settings_.zones.size()) j.zone = settings_.zones[v.entry.zone];
+      j.view = std::move(v);
+      out.push_back(std::move(j));
+    }
+  };
+  if (pool >= settings_.pools.size() || !with_owner(copy, deadline)) return std::nullopt;
+  return out;
+}
+
+std::optional<std::vector<InferenceView>> Core::inferences(std::size_t pool, InfId after, std::size_t most,
+                                                           Instant deadline) {
+  std::vector<InferenceView> out;
+  const auto copy = [&](Instant now) {
+    out = view_inferences(inside_->pools[pool]->router, now, after, most);
+  };
+  if (pool >= settings_.pools.size() || !with_owner(copy, deadline)) return std::nullopt;
+  return out;
+}
+
+std::optional<Core::InWork> Core::in_work(Instant deadline) {
+  InWork out;
+  std::size_t open = 0;
+  const auto copy = [&](Instant) {
+    for (const auto& p : inside_->pools) open += p->cases.open(), out.holdings += p->cases.holdings();
+  };
+  if (!with_owner(copy, deadline)) return std::nullopt;
+  {
+    const std::lock_guard lock(inside_->tickets_mutex);
+    out.inferences = std::max(open, inside_->tickets.size());
+    for (const auto& [inf, weak] : inside_->tickets)
+      if (const auto t = weak.lock()) {
+        // Numbers go up with time: the first that still lives is the oldest.
+        out.oldest = t->opened();
+        break;
+      }
+  }
+  // A release that is on its way still holds what it lets go.
+  out.holdings += inside_->errands.count() - inside_->errands.idle();
+  return out;
+}
+
+Core::Held Core::hold_hall(const std::string& zone, bool out, Instant deadline) {
+  const auto at = std::find(settings_.zones.begin(), settings_.zones.end(), zone);
+  if (at == settings_.zones.end()) return Held::Unknown;
+  const auto id = static_cast<std::uint8_t>(at - settings_.zones.begin());
+  const auto hold = [this, id, out](Instant now) {
+    for (const auto& p : inside_->pools) inside_->judge_halls(*p, now, p->halls.hold_out(now, id, out));
+  };
+  return with_owner(hold, deadline) ? Held::Done : Held::Busy;
+}
+
+Core::Held Core::hold_engine(const std::string& address, bool out, Instant deadline) {
+  bool found = false;
+  const auto hold = [&, this](Instant now) {
+    for (const auto& p : inside_->pools)
+      if (const auto id = p->book.named(address))
+        found = true, inside_->judge_halls(*p, now, p->halls.hold_engine(*id, out));
+  };
+  if (!with_owner(hold, deadline)) return Held::Busy;
+  return found ? Held::Done : Held::Unknown;
+}
+
+std::optional<Core::Fronts> Core::fronts(Instant deadline) {
+  Fronts out;
+  const auto copy = [&](Instant) {
+    const auto& m = inside_->membership;
+    out = {m.acting(), m.told_by_settings(), m.told_by_roster(), m.told_by_hand()};
+  };
+  if (!with_owner(copy, deadline)) return std::nullopt;
+  return out;
+}
+
+bool Core::set_fronts(std::optional<int> count, Span lasts, Instant deadline) {
+  return with_owner(
+      [this, count, lasts](Instant now) {
+        if (count) inside_->membership.by_hand(now, *count, lasts);
+        else inside_->membership.no_hand(now);
+        inside_->count_fronts(now);
+      },
+      deadline);
+}
 
 void Core::abort_all() {
   aborting_ = true;
--- a/src/front/core.hpp
+++ b/src/front/core.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -15,8 +16,10 @@
 #include "http/http.hpp"
 #include "intake/intake.hpp"
 #include "log/log.hpp"
+#include "metrics/latency.hpp"
 #include "net/socket.hpp"
 #include "prefix/index.hpp"
+#include "routing/view.hpp"
 #include "settings/settings.hpp"
 
 // What all client protocols share: one thread owns the modules (one a pool) and is fed through a bounded
@@ -38,6 +41,7 @@
   Instant ends;                // of the client's budget
   std::string dedupe_key;      // passed on to engines; empty = none
   std::uint16_t customer = 0;  // by the credentials that it came with; 0 = none
+  bool goes_on = false;        // of a message that was taken: not refused for a drain
   bool key_taken = false;      // an inference before it holds the client's key: it is not asked for again
 };
 
@@ -77,11 +81,12 @@
 // One inference that this front has taken, as its client's thread sees it.
 class Ticket {
  public:
-  Ticket(InfId inf, std::size_t pool, Asked asked, std::shared_ptr<const net::Wake> wake)
-      : inf_(inf), pool_(pool), asked_(std::move(asked)), wake_(std::move(wake)) {
+  Ticket(InfId inf, Instant opened, std::size_t pool, Asked asked, std::shared_ptr<const net::Wake> wake)
+      : inf_(inf), opened_(opened), pool_(pool), asked_(std::move(asked)), wake_(std::move(wake)) {
     usage_.prompt_tokens = asked_.prompt_tokens;
   }
   InfId inf() const { return inf_; }
+  Instant opened() const { return opened_; }
   std::size_t pool() const { return pool_; }
   const Asked& asked() const { return asked_; }
 
@@ -105,6 +110,7 @@
 
  private:
   const InfId inf_;
+  const Instant opened_;
   const std::size_t pool_;
   const Asked asked_;
   std::shared_ptr<const net::Wake>
@@ -155,18 +161,68 @@
   double estimate_tokens(std::size_t route, std::size_t bytes) const;
 
   void refuse_new();  // from now on nothing is taken
-  void abort_all();   // what is open is errored now; streams see it within a second
+  void take_new();    // again, after a drain
+  bool refusing() const { return refusing_; }
+  void abort_all();  // what is open is errored now; streams see it within a second
   bool aborting() const { return aborting_; }
   Counts counts() const;
+
+  // For operators. Each has the owner of the modules copy out what is asked for, between two events: none if
+  // it has too much to do, or by the deadline.
+  struct PoolStatus {
+    std::string name;
+    bool heard = false, cut_off = false;
+    std::size_t open = 0, holdings = 0;
+    struct Hall {
+      std::string name, state;
+      bool by_hand = false;
+      std::size_t in_work = 0, spilled = 0;
+      double capacity = 0;
+    };
+    std::vector<Hall> halls;
+    double cap = 0;
+    bool cap_on = false;
+    std::size_t in_work = 0, refused = 0;
+    std::vector<std::pair<std::string, std::vector<std::string>>> closed;  // routes, and zones closed to them
+  };
+  std::optional<std::vector<PoolStatus>> status(Instant deadline);
+  struct Judged {
+    EngineView view;
+    std::string address, kind, zone;
+    bool by_hand = false, withheld = false;
+  };
+  std::optional<std::vector<Judged>> engines(std::size_t pool, std::optional<EngineId> after,
+                                             std::size_t most, Instant deadline);
+  std::optional<std::vector<InferenceView>> inferences(std::size_t pool, InfId after, std::size_t most,
+                                                       Instant deadline);
+  // Tickets, what the owner has open and holds, and releases on their way. Exact for what was taken before.
+  struct InWork {
+    std::size_t inferences = 0, holdings = 0;
+    std::optional<Instant> oldest;
+  };
+  std::optional<InWork> in_work(Instant deadline);
+  enum class Held { Done, Unknown, Busy };
+  Held hold_hall(const std::string& zone, bool out, Instant deadline);
+  Held hold_engine(const std::string& address, bool out, Instant deadline);
+  struct Fronts {
+    int acting = 1, settings = 1;
+    std::optional<int> roster, hand;
+  };
+  std::optional<Fronts> fronts(Instant deadline);
+  bool set_fronts(std::optional<int> count, Span lasts, Instant deadline);
+  metrics::Figures& figures() { return figures_; }
   const settings::Front& settings() const { return settings_; }
   log::Log& log() { return log_; }
 
  private:
   std::shared_ptr<const prefix::Chain> chain_of(std::size_t route, const Prompt& prompt) const;
+  // Has the owner do it; false if it has not by the deadline (it may yet, into what it keeps itself).
+  bool with_owner(const std::function<void(Instant)>& what, Instant deadline);
   struct Inside;
   const settings::Front settings_;
   log::Log& log_;
   std::atomic<bool> refusing_ = false, aborting_ = false;
+  metrics::Figures figures_;
   std::unique_ptr<Inside> inside_;
 };
 
--- a/src/front/messages_front.cpp
+++ b/src/front/messages_front.cpp
@@ -71,6 +71,8 @@
   int uses = 0;
   engines::Chunk last;
   const char* outcome = "left";
+  Instant arrived;
+  Span first_token;  // zero until it came
 };
 
 // One answer of the model, written to the client as it comes.
@@ -80,6 +82,7 @@
 
   bool chunk(const engines::Chunk& c, const Usage& usage) override {
     m_.rounds->answer_began(clock_now());
+    if (m_.first_token == Span{}) m_.first_token = clock_now() - m_.arrived;
     std::string out = begin(usage);
     if (!c.text.empty()) text += c.text, out += m_.writer.text(c.text);
     for (const auto& piece : c.calls) {
@@ -142,6 +145,8 @@
     answer(e, visit, Span{}, false);
   }
 
+  std::size_t open() const override { return in_work_; }
+
   bool serve(const http::Request& request, Visit& visit) override {
     const Instant arrived = clock_now();
     if (request.method != "POST") {
@@ -208,7 +213,11 @@
       return refused("max_tokens: " + std::to_string(call.prompt.max_tokens) + " > " +
                      std::to_string(static_cast<long>(r.max_tokens)) + ", which is the maximum for " +
                      call.model);
+    // Counted before it is asked whether the front takes new work: a drain that saw none sees this one.
+    const InWork here(in_work_);
+    if (core_.refusing()) return answer(not_taken(Core::Opened::Why::Full), visit, Span{}, true);
     Message m(visit, call, r, "msg_" + visit.request_id.substr(4));
+    m.arrived = arrived;
     std::vector<rounds::Tool> tools;
     std::set<std::string> clients;
     for (const auto& t : call.prompt.tools) clients.insert(t.name);
@@ -233,6 +242,7 @@
     const bool keep = rounds_of(m);
     if (r.effect == Effect::Deduped && m.inf != 0)
       core_.key_over(r.name, m.base.dedupe_key, m.ran, m.first_run, m.rounds->unsure());
+    core_.figures().ended(r.name, m.outcome, m.first_token, clock_now() - arrived);
     core_.log().line(Level::Info, "inference",
                      {{"inference", std::int64_t{m.inf}},
                       {"request_id", visit.request_id},
@@ -268,7 +278,7 @@
     core_.set_prompt(a, m.call.prompt, m.call.opening.size());
     a.ends = m.rounds->ends();
     // A later round is another inference to the engines, but the client's key is the message's.
-    a.key_taken = round > 0;
+    a.key_taken = a.goes_on = round > 0;
     if (round > 0 && !a.dedupe_key.empty()) a.dedupe_key += "~" + std::to_string(round + 1);
     return a;
   }
@@ -460,6 +470,7 @@
   }
 
   Core& core_;
+  std::atomic<std::size_t> in_work_ = 0;
   const std::shared_ptr<ToolCalls> calls_;
   CallerBook callers_;
   Workers workers_;  // of calls
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -19,13 +19,31 @@
 }  // namespace
 
 Server::Server(Core& core, std::vector<std::unique_ptr<Protocol>> protocols)
-    : core_(core), protocols_(std::move(protocols)) {
+    : core_(core),
+      listen_(core.settings().listen),
+      most_(core.settings().connections),
+      protocols_(std::move(protocols)) {
   std::random_device chance;
   char stamp[16];
   std::snprintf(stamp, sizeof stamp, "%08x", chance());
   stamp_ = stamp;
 }
 
+Server::Server(Core& core, std::vector<std::unique_ptr<Protocol>> protocols, net::Address listen,
+               std::size_t connections)
+    : core_(core),
+      for_clients_(false),
+      listen_{std::move(listen)},
+      most_(connections),
+      protocols_(std::move(protocols)),
+      stamp_("admin") {}
+
+std::size_t Server::in_work() const {
+  std::size_t n = 0;
+  for (const auto& p : protocols_) n += p->open();
+  return n;
+}
+
 Server::~Server() {
   stop(net::clock_now());
   // Their threads hold on to this server; each of their waits has an end.
@@ -33,7 +51,7 @@
 }
 
 void Server::start() {
-  for (const auto& at : core_.settings().listen) {
+  for (const auto& at : listen_) {
     listeners_.push_back(std::make_unique<net::Listener>(at));
     addresses_.push_back({at.host, listeners_.back()->port()});
   }
@@ -46,7 +64,7 @@
   while (!stopping_) {
     auto stream = listener.accept(net::clock_now() + Span::millis(1000));
     if (!stream || stopping_) continue;
-    const bool room = ++open_ <= core_.settings().connections;
+    const bool room = ++open_ <= most_;
     auto shared = std::make_shared<net::Stream>(std::move(*stream));
     if (room && net::start_thread(core_.settings().stack, [this, shared] {
           serve(std::move(*shared));
@@ -120,7 +138,7 @@
 
 bool Server::stop(Instant deadline) {
   if (stopping_.exchange(true)) return true;
-  core_.refuse_new();
+  if (for_clients_) core_.refuse_new();
   for (auto& l : listeners_) l->stop();
   for (auto& t : acceptors_) t.join();
   // Closed, not only left unheard: who still connects is refused at once and can go elsewhere.
@@ -129,14 +147,10 @@
     const std::lock_guard lock(idle_mutex_);
     for (const net::Stream* s : idle_) s->shut();
   }
-  const auto in_work = [&] {
-    std::size_t n = core_.counts().open;
-    for (const auto& p : protocols_) n += p->open();
-    return n;
-  };
-  while (in_work() > 0 && net::clock_now() < deadline) usleep(2000);
-  const bool clean = in_work() == 0;
-  core_.abort_all();  // streams that only listen end with it too
+  const auto left = [&] { return in_work() + (for_clients_ ? core_.counts().open : 0); };
+  while (left() > 0 && net::clock_now() < deadline) usleep(2000);
+  const bool clean = left() == 0;
+  if (for_clients_) core_.abort_all();  // streams that only listen end with it too
   const Instant last = net::clock_now() + Span::millis(3000);
   while (open_ > 0 && net::clock_now() < last) usleep(1000);
   return clean;
--- a/src/front/server.hpp
+++ b/src/front/server.hpp
@@ -33,17 +33,33 @@
   virtual void refuse(int status, const std::string& what, Visit& visit) = 0;
 };
 
+// One piece of work, counted for as long as it lasts.
+class InWork {
+ public:
+  explicit InWork(std::atomic<std::size_t>& count) : count_(count) { ++count_; }
+  ~InWork() { --count_; }
+  InWork(const InWork&) = delete;
+  InWork& operator=(const InWork&) = delete;
+
+ private:
+  std::atomic<std::size_t>& count_;
+};
+
 // Listeners and connections: accepts, limits, reads requests and hands them to the protocol that takes their
 // path.
 class Server {
  public:
   Server(Core& core, std::vector<std::unique_ptr<Protocol>> protocols);
+  // For operators: listens there alone, and its end ends nothing else.
+  Server(Core& core, std::vector<std::unique_ptr<Protocol>> protocols, net::Address listen,
+         std::size_t connections);
   ~Server();
   void start();  // throws std::runtime_error if an address can't be listened on
   std::vector<net::Address> addresses() const;
   // No new work; what runs may end until the deadline, then is errored. True if nothing had to be errored.
   bool stop(Instant deadline);
   std::size_t connections() const { return open_; }
+  std::size_t in_work() const;  // of its protocols, beside the core's inferences
 
  private:
   void accept(net::Listener& listener);
@@ -51,6 +67,9 @@
   Protocol* protocol_for(const std::string& target) const;
 
   Core& core_;
+  const bool for_clients_ = true;
+  const std::vector<net::Address> listen_;
+  const std::size_t most_;
   std::vector<std::unique_ptr<Protocol>> protocols_;
   std::vector<std::unique_ptr<net::Listener>> listeners_;
   std::vector<net::Address> addresses_;
--- a/src/front/tools_front.cpp
+++ b/src/front/tools_front.cpp
@@ -49,7 +49,7 @@
   }
 
   bool takes(const std::string& path) const override { return path == settings_.path; }
-  std::size_t open() const override { return calls_->open(); }
+  std::size_t open() const override { return in_work_ + calls_->open(); }
 
   void refuse(int status, const std::string& what, Visit& visit) override {
     reply(visit, status, rpc::error_text({}, rpc::invalid_message, what), false);
@@ -331,7 +331,8 @@
       return reply(visit, 200, rpc::error_text(r.id, code, what), true);
     };
     if (!name || name->empty()) return finish_early(rpc::bad_params, "name: a string is wanted");
-    if (core_.aborting()) return finish_early(rpc::busy, "this front takes no more just now");
+    const InWork here(in_work_);
+    if (core_.refusing()) return finish_early(rpc::busy, "this front takes no more just now");
     Way way(client, r, visit, streams);
     const ToolCalls::Order order{*name, r.params, !way.token.empty(), arrived + calls_->time_of(*name)};
     const CallId id = calls_->begin(client->caller, order);
@@ -388,6 +389,7 @@
   Core& core_;
   const std::shared_ptr<ToolCalls> calls_;
   const settings::Tools& settings_;
+  std::atomic<std::size_t> in_work_ = 0;  // calls of clients
   std::uint64_t salt_ = 0;
   std::mutex clients_mutex_;
   std::map<std::string, ClientRef> clients_;
--- a/src/halls/halls.cpp
+++ b/src/halls/halls.cpp
@@ -37,7 +37,8 @@
 // it is fresh where it came back from being refused.
 EngineEntry Halls::entry_of(const Box& b) const {
   EngineEntry e = b.entry;
-  if (!b.admitted && e.lifecycle == Lifecycle::Ready) e.lifecycle = Lifecycle::Draining;
+  if ((!b.admitted || by_hand_.contains(e.engine)) && e.lifecycle == Lifecycle::Ready)
+    e.lifecycle = Lifecycle::Draining;
   if (b.fresh && (!e.started || *e.started < *b.fresh)) e.started = b.fresh;
   return e;
 }
@@ -278,4 +279,26 @@
   return done();
 }
 
+bool Halls::held_by_hand(std::uint8_t hall) const {
+  const auto it = halls_.find(hall);
+  return it != halls_.end() && it->second.by_hand;
+}
+
+std::vector<Step> Halls::hold_engine(const EngineId& engine, bool out) {
+  const bool changed = out ? by_hand_.insert(engine).second : by_hand_.erase(engine) > 0;
+  if (!changed) return {};
+  char text[96];
+  std::snprintf(text, sizeof text, "engine %d.%d.%d.%d:%d is %s by hand", engine.address[0],
+                engine.address[1], engine.address[2], engine.address[3], engine.port,
+                out ? "held out" : "let in again");
+  steps_.push_back(Note{text});
+  if (const auto it = boxes_.find(engine); it != boxes_.end()) {
+    FleetListed list;
+    list.scope = ListScope::Delta, list.version = version_;
+    list.entries.push_back(entry_of(it->second));
+    steps_.push_back(Tell{std::move(list)});
+  }
+  return done();
+}
+
 }  // namespace calicograde::halls
--- a/src/halls/halls.hpp
+++ b/src/halls/halls.hpp
@@ -56,6 +56,10 @@
   std::vector<Step> tick(Instant now);
   // Held out by hand until it is let in again; it then returns in stages.
   std::vector<Step> hold_out(Instant now, std::uint8_t hall, bool out);
+  // The same for one engine; an id that is not listed is kept in mind for when it is.
+  std::vector<Step> hold_engine(const EngineId& engine, bool out);
+  bool held_by_hand(const EngineId& engine) const { return by_hand_.contains(engine); }
+  bool held_by_hand(std::uint8_t hall) const;
 
   State state(std::uint8_t hall) const;
   // Every hall that can be judged looks lost: it is this front that is cut off, and nothing is done.
@@ -104,6 +108,7 @@
   const std::uint8_t own_;
   std::mt19937 chance_;
   std::map<EngineId, Box> boxes_;
+  std::set<EngineId> by_hand_;
   std::map<std::uint8_t, Hall> halls_;
   bool cut_off_ = false;
   std::uint64_t version_ = 0;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -10,6 +10,8 @@
 #include <sys/eventfd.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -36,11 +38,20 @@
   sockaddr any;
   sockaddr_in v4;
   sockaddr_in6 v6;
+  sockaddr_un un;
 };
+constexpr std::string_view local = "unix:";
 
 std::optional<std::pair<Where, socklen_t>> where(const Address& a) {
   Where w;
   std::memset(&w, 0, sizeof w);
+  if (is_local_path(a)) {
+    const std::string path = a.host.substr(local.size());
+    if (path.size() >= sizeof w.un.sun_path) return std::nullopt;
+    w.un.sun_family = AF_UNIX;
+    std::memcpy(w.un.sun_path, path.c_str(), path.size() + 1);
+    return std::pair{w, static_cast<socklen_t>(sizeof w.un)};
+  }
   if (inet_pton(AF_INET, a.host.c_str(), &w.v4.sin_addr) == 1) {
     w.v4.sin_family = AF_INET, w.v4.sin_port = htons(a.port);
     return std::pair{w, static_cast<socklen_t>(sizeof w.v4)};
@@ -91,7 +102,17 @@
   fd_ = -1;
 }
 
+bool is_local_path(const Address& a) { return a.host.starts_with(local); }
+bool is_loopback(const Address& a) {
+  return is_local_path(a) || a.host.starts_with("127.") || a.host == "::1";
+}
+
 std::optional<Address> parse_address(std::string_view text) {
+  if (text.starts_with(local)) {
+    const bool fits =
+        text.size() > local.size() && text.size() - local.size() < sizeof(sockaddr_un::sun_path);
+    return fits ? std::optional(Address{std::string(text), 0}) : std::nullopt;
+  }
   const auto colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) return std::nullopt;
   std::string_view host = text.substr(0, colon), port = text.substr(colon + 1);
@@ -104,6 +125,7 @@
 }
 
 std::string text_of(const Address& a) {
+  if (is_local_path(a)) return a.host;
   const bool six = a.host.find(':') != std::string::npos;
   return (six ? "[" + a.host + "]" : a.host) + ":" + std::to_string(a.port);
 }
@@ -208,16 +230,32 @@
   if (!fd_) fail(std::strerror(errno));
   const int one = 1;
   setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (is_local_path(at)) {
+    path_ = at.host.substr(local.size());
+    // Left by a process that is gone: nobody answers there. Where somebody does, it is theirs.
+    struct stat st {};
+    if (::lstat(path_.c_str(), &st) == 0) {
+      if (!S_ISSOCK(st.st_mode)) path_.clear(), fail("there is a file of that name that is no socket");
+      if (Stream::connect(at, clock_now() + Span::millis(200)).first == ConnectEnd::Connected)
+        path_.clear(), fail("another process listens there");
+      ::unlink(path_.c_str());
+    }
+  }
   if (::bind(fd_.get(), &w->first.any, w->second) != 0) fail(std::strerror(errno));
+  if (!path_.empty()) ::chmod(path_.c_str(), 0600);  // its owner's alone, before anybody is let in
   if (::listen(fd_.get(), backlog) != 0) fail(std::strerror(errno));
   Where got;
   socklen_t size = sizeof got;
   getsockname(fd_.get(), &got.any, &size);
-  port_ = ntohs(got.any.sa_family == AF_INET ? got.v4.sin_port : got.v6.sin6_port);
+  if (path_.empty()) port_ = ntohs(got.any.sa_family == AF_INET ? got.v4.sin_port : got.v6.sin6_port);
   wake_ = Fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
   spare_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
 }
 
+Listener::~Listener() {
+  if (!path_.empty()) ::unlink(path_.c_str());
+}
+
 std::optional<Stream> Listener::accept(Instant deadline) {
   for (;;) {
     pollfd p[2] = {{fd_.get(), POLLIN, 0}, {wake_.get(), POLLIN, 0}};
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -40,8 +40,11 @@
   unsigned short port = 0;
   auto operator<=>(const Address&) const = default;
 };
-// "127.0.0.1:80", "[::1]:80", "name:80"; none where the port is missing or out of range.
+// "127.0.0.1:80", "[::1]:80", "name:80", "unix:/path" (host is all of it, the port 0); none where the port is
+// missing or out of range, or a path too long.
 std::optional<Address> parse_address(std::string_view text);
+bool is_local_path(const Address& address);  // a unix socket
+bool is_loopback(const Address& address);    // or a unix socket
 std::string text_of(const Address& address);
 // The first address of a host name as a literal; none if it has none. Needs a stack of 256 KiB or more.
 std::optional<Address> resolve(const Address& address);
@@ -120,6 +123,9 @@
 class Listener {
  public:
   explicit Listener(const Address& at, int backlog = 4096);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
   unsigned short port() const { return port_; }
   // The next connection, or none at the deadline or after stop(). Where descriptors have run out the waiting
   // one is accepted on a spare descriptor and closed, so that its client is told at once.
@@ -129,6 +135,7 @@
  private:
   Fd fd_, wake_, spare_;
   unsigned short port_ = 0;
+  std::string path_;  // of a unix socket, removed with it
 };
 
 // A flag that one thread raises and another polls for (eventfd).
--- a/src/prefix/knowledge.hpp
+++ b/src/prefix/knowledge.hpp
@@ -17,6 +17,7 @@
   Knowledge(Limits limits, std::vector<EngineKind> kinds, std::vector<bool> tell);
 
   void listed(const FleetListed& list);
+  void fronts(int count) { limits_.fronts = count; }
   // Fills in what is known of an arrival's prompt.
   void arrived(Arrived& arrival, std::shared_ptr<const Chain> chain);
   // The engine has read the prompt; `found`: tokens that it had kept of it, where it tells.
@@ -37,7 +38,7 @@
     double tokens = 0;
     std::map<EngineId, std::uint32_t> expected;  // blocks
   };
-  const Limits limits_;
+  Limits limits_;
   const std::vector<EngineKind> kinds_;
   const std::vector<bool> tell_;
   Index index_;
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -93,6 +93,14 @@
       line.lifecycle = it->second;
       d.lines.push_back(std::move(line));
     }
+    if (const auto fronts = j.find("fronts"); fronts != j.end()) {
+      if (!fronts->is_array() || fronts->size() > most_lines) throw Wrong{"'fronts' is no array of names"};
+      d.fronts.emplace();
+      for (const auto& f : *fronts) {
+        if (!f.is_string() || f.get<std::string>().empty()) throw Wrong{"'fronts' holds what is no name"};
+        d.fronts->push_back(f.get<std::string>());
+      }
+    }
     return d;
   } catch (const Wrong& w) {
     return w.what;
@@ -102,6 +110,7 @@
 std::string text_of(const Document& d) {
   Json j{{"version", d.version}, {"scope", d.full ? "full" : "delta"}};
   if (!d.full) j["base"] = d.base;
+  if (d.fronts) j["fronts"] = *d.fronts;
   j["engines"] = Json::array();
   for (const auto& l : d.lines) {
     Json e{{"address", l.address},         {"kind", l.kind}, {"zone", l.zone}, {"rack", l.rack},
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -28,6 +28,8 @@
   bool full = true;
   std::uint64_t base = 0;  // of a delta: the version that it builds on
   std::vector<Line> lines;
+  std::optional<std::vector<std::string>> fronts =
+      {};  // by name, always all of them; none = it does not tell
 };
 // The document, or what is wrong with it and where.
 std::variant<Document, std::string> parse(std::string_view json);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -69,11 +69,16 @@
 class Router::Desk : private State {
  public:
   Desk(std::uint64_t seed, const Settings& settings)
-      : State(bookings_kept), s_(settings), random_(static_cast<std::uint32_t>(seed)) {
+      : State(bookings_kept),
+        s_(settings),
+        fronts_(settings.fronts),
+        random_(static_cast<std::uint32_t>(seed)) {
     smallest_target_ = s_.routes.empty() ? Span::millis(1000) : s_.routes[0].first_token_target;
     for (const auto& r : s_.routes) smallest_target_ = std::min(smallest_target_, r.first_token_target);
   }
 
+  const State& state() const { return *this; }
+
   std::vector<Action> handle(Instant now, const Event& event) {
     if (!begun_at_) begun_at_ = now;
     if (std::exchange(now_, now) != now)
@@ -197,6 +202,7 @@
   }
 
   void on(const ZonesClosed& e) { closed_zones_ = e.by_route; }
+  void on(const FrontsCounted& e) { fronts_ = std::max(1, e.fronts); }
   void on(const auto&) {}
 
   // Serves the queues: where a pair is free it is booked, the rest is held before the read.
@@ -289,7 +295,7 @@
   // siblings of each arrival are booked here. Guards against all going for the same engine, and gives each
   // rack what it can take; with a list that differs from the others' it is as wrong as the list.
   void book_siblings(const Inference& f) {
-    if (s_.fronts < 2) return;
+    if (fronts_ < 2) return;
     std::vector<Candidate> all;
     for (auto& [id, e] : engines_) {
       if (e.lifecycle != Lifecycle::Ready || e.doubted || closed(e, f)) continue;
@@ -324,7 +330,7 @@
     return a_sibling(reads) * ((reads ? e.read_for : e.write_for) + e.turn);
   }
   double a_sibling(bool reads) const {  // tokens that it stands for
-    return (s_.fronts - 1) * std::max(1.0, (reads ? reading_ : writing_).tokens) / siblings_kept;
+    return (fronts_ - 1) * std::max(1.0, (reads ? reading_ : writing_).tokens) / siblings_kept;
   }
 
   void hold_place(Inference& f) {
@@ -569,7 +575,7 @@
     double peers = 0;
     for (const auto& [id, other] : engines_)
       peers += other.lifecycle == Lifecycle::Ready && (reads ? other.reads : other.writes);
-    const double window = s_.fall.seconds(), fronts = s_.fronts;
+    const double window = s_.fall.seconds(), fronts = fronts_;
     const double mean = (reads ? reading_ : writing_).a_second * fronts * window / std::max(1.0, peers);
     const double budget = s_.fall_multiple * mean / coldness(e), part = cold_share * budget;
     const double chance = 3 * std::sqrt(std::min(part, fronts / 4));
@@ -706,7 +712,7 @@
   }
 
   // All fronts together try a doubted engine about once in trial_every, each at least while samples live.
-  Span trial_gap() const { return std::min(trial_every * s_.fronts, sample_life); }
+  Span trial_gap() const { return std::min(trial_every * fronts_, sample_life); }
 
   void doubt(const EngineId& id, Engine& e, bool silent, double seen, double usual) {
     if (e.doubted) return;
@@ -835,6 +841,7 @@
   }
 
   const Settings s_;
+  int fronts_;
   std::mt19937 random_;
   Span smallest_target_;
   Instant paces_at_;
@@ -863,5 +870,6 @@
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
 std::vector<Action> Router::handle(Instant now, const Event& event) { return desk_->handle(now, event); }
+const State& Router::state() const { return desk_->state(); }
 
 }  // namespace calicograde
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,6 +1,10 @@
 #include "settings/settings.hpp"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cstdio>
 #include <limits>
 #include <map>
 #include <set>
@@ -117,10 +121,27 @@
           fault(*t, std::string(name) + " is 0", "every wait needs an end above 0");
     }
     if (const auto* b = e.child("budget")) out.budget_header = b->text("header");
+    if (const auto* a = e.child("admin")) out.admin = admin(*a);
     if (const auto* l = e.child("log"))
       out.log_level = l->text("level", "info"), out.log_file = l->text("file");
   }
 
+  Admin admin(const Element& e) {
+    Admin out;
+    const auto at = net::parse_address(e.text("listen"));
+    if (!at) fault(e, "'" + e.text("listen") + "' is no address", "write unix:/PATH or 127.0.0.1:PORT");
+    else out.listen = *at;
+    if (at && !net::is_loopback(*at))
+      fault(e, "the admin interface can't listen on " + e.text("listen") + ": it has no encryption",
+            "listen on a unix socket or on loopback, and bring callers there");
+    out.token_file = e.text("token-file"), out.state = e.text("state");
+    if (at && !net::is_local_path(*at) && out.token_file.empty())
+      fault(e, "anybody on this machine could reach " + e.text("listen"),
+            "name a token-file, or listen on a unix socket");
+    out.connections = count(e, "connections", out.connections, 10000);
+    return out;
+  }
+
   Pool pool(const Element& e, const Front& front) {
     Pool out;
     out.name = e.text("name");
@@ -434,6 +455,14 @@
   int zone_ = 0;
 };
 
+std::string digest_of(std::string_view text) {
+  const XXH128_hash_t h = XXH3_128bits(text.data(), text.size());
+  char hex[40];
+  std::snprintf(hex, sizeof hex, "%016llx%016llx", static_cast<unsigned long long>(h.high64),
+                static_cast<unsigned long long>(h.low64));
+  return hex;
+}
+
 }  // namespace
 
 std::optional<Front> load(const std::string& file, std::string_view text, std::vector<Fault>& faults) {
@@ -444,6 +473,7 @@
   std::stable_sort(faults.begin() + static_cast<std::ptrdiff_t>(before), faults.end(),
                    [](const Fault& a, const Fault& b) { return a.line < b.line; });
   if (faults.size() > before) return std::nullopt;
+  out.text = text, out.digest = digest_of(text);
   return out;
 }
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -73,6 +73,14 @@
   Span list_every = Span::millis(10000);
 };
 
+// Where operators' tools come in; none = nowhere.
+struct Admin {
+  net::Address listen;     // a unix socket, or loopback
+  std::string token_file;  // its first line is what a caller must name; needed for all but a unix socket
+  std::string state;       // a folder for what stands through a restart; empty = nothing does
+  std::size_t connections = 64;
+};
+
 struct Front {
   std::string name;
   int number = 0, of = 1;
@@ -87,6 +95,8 @@
   std::vector<Pool> pools;
   std::vector<Route> routes;
   std::optional<Tools> tools;
+  std::optional<Admin> admin;
+  std::string text, digest;  // of the settings' file: as read, and its 128 bits in hex
 };
 
 // Reads, checks against the schema, then for sense. All faults are appended; none is returned if there is
