--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -49,6 +50,14 @@
     tool_servers_.back()->set([this](ToolFaults& f) { f.takes = plan_.tool_takes; });
   }
   for (int k = 0; k < plan_.fronts; ++k) fronts_.push_back(start_front(k));
+  if (!plan_.admin) return;
+  // For calicograde fleet.
+  std::ofstream fleet(folder_ + "/fleet.xml");
+  fleet << "<fleet version=\"1\">\n";
+  for (int k = 0; k < plan_.fronts; ++k)
+    fleet << "  <fronts name=\"front-" << k << "\" admin=\"unix:" << folder_ << "/front-" << k
+          << ".sock\" hall=\"hall-" << k % plan_.zones << "\"/>\n";
+  fleet << "</fleet>\n";
 }
 
 Town::~Town() {
@@ -71,7 +80,8 @@
   std::vector<std::string> tools;
   for (const auto& t : tool_servers_) tools.push_back(net::text_of(t->address()));
   std::ofstream(file) << front_settings(plan_, number, roster_->address(), folder_ + "/" + name + ".log",
-                                        tools);
+                                        tools, folder_);
+  if (plan_.admin) ::mkdir((folder_ + "/" + name).c_str(), 0700);
   int out[2];
   if (::pipe2(out, O_CLOEXEC) != 0) throw std::runtime_error("no pipe for " + name);
   const int pid = ::fork();
@@ -106,6 +116,7 @@
 }
 std::string Town::ready_line() const {
   nlohmann::ordered_json j{{"fronts", nlohmann::json::array()}, {"pids", pids()}};
+  if (plan_.admin) j["fleet"] = folder_ + "/fleet.xml";
   for (const auto& a : fronts()) j["fronts"].push_back(net::text_of(a));
   for (const auto& t : tool_servers_) j["tools"].push_back(net::text_of(t->address()));
   return j.dump();
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -52,7 +52,8 @@
   }
   if (const auto* r = root->child("roster")) p.roster_late = r->time("late", p.roster_late);
   if (const auto* f = root->child("fronts"))
-    p.fronts = static_cast<int>(f->number("count", 1)), p.held = static_cast<int>(f->number("held", 512));
+    p.fronts = static_cast<int>(f->number("count", 1)), p.held = static_cast<int>(f->number("held", 512)),
+    p.admin = f->flag("admin", false);
   const auto* fleet = root->child("fleet");
   const int racks = static_cast<int>(fleet->number("racks", 1));
   p.zones = static_cast<int>(fleet->number("zones", 1));
@@ -151,14 +152,19 @@
 }
 
 std::string front_settings(const Plan& p, int number, const std::string& roster, const std::string& log_file,
-                           const std::vector<std::string>& tool_servers) {
+                           const std::vector<std::string>& tool_servers, const std::string& folder) {
+  const std::string admin = p.admin && !folder.empty()
+                                ? "    <admin listen=\"unix:" + folder + "/front-" + std::to_string(number) +
+                                      ".sock\" state=\"" + folder + "/front-" + std::to_string(number) +
+                                      "\"/>\n"
+                                : "";
   std::string out = "<calicograde version=\"1\">\n  <front name=\"front-" + std::to_string(number) +
                     "\" number=\"" + std::to_string(number) + "\" of=\"" + std::to_string(p.fronts) +
                     "\" zone=\"hall-" + std::to_string(number % p.zones) + "\" seed=\"" +
                     std::to_string(p.seed * 100 + static_cast<unsigned>(number) + 1) +
                     "\">\n    <listen address=\"127.0.0.1:0\"/>\n" + "    <limits connections=\"" +
                     std::to_string(p.held * 2) + "\" held=\"" + std::to_string(p.held) + "\"/>\n" +
-                    "    <times write=\"2s\" stop=\"5s\"/>\n    <log level=\"info\"" +
+                    "    <times write=\"2s\" stop=\"5s\"/>\n" + admin + "    <log level=\"info\"" +
                     (log_file.empty() ? "" : " file=\"" + log_file + "\"") + "/>\n  </front>\n  <zones>\n";
   for (int z = 0; z < p.zones; ++z) out += "    <zone name=\"hall-" + std::to_string(z) + "\"/>\n";
   out += "  </zones>\n  <pool name=\"main\">\n";
--- a/src/lab/plan.hpp
+++ b/src/lab/plan.hpp
@@ -57,6 +57,7 @@
   Span length = Span::millis(10000), roster_late = Span::millis(300);
   std::vector<EngineOptions> engines;
   int fronts = 1, held = 512, zones = 1;
+  bool admin = false;  // each front has its admin interface on a unix socket in the folder
   RuleFigures rules;
   std::vector<PlannedRoute> routes;
   std::vector<PlannedTool> tools;
@@ -72,6 +73,7 @@
 Plan small_plan();  // two readers, two writers, one front
 // The settings of one of its fronts.
 std::string front_settings(const Plan& plan, int number, const std::string& roster_address,
-                           const std::string& log_file, const std::vector<std::string>& tool_servers = {});
+                           const std::string& log_file, const std::vector<std::string>& tool_servers = {},
+                           const std::string& folder = {});
 
 }  // namespace calicograde::lab
