--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -53,7 +53,7 @@
   if (const auto* r = root->child("roster")) p.roster_late = r->time("late", p.roster_late);
   if (const auto* f = root->child("fronts"))
     p.fronts = static_cast<int>(f->number("count", 1)), p.held = static_cast<int>(f->number("held", 512)),
-    p.admin = f->flag("admin", false);
+    p.admin = f->flag("admin", false), p.limits = f->flag("limits", false);
   const auto* fleet = root->child("fleet");
   const int racks = static_cast<int>(fleet->number("racks", 1));
   p.zones = static_cast<int>(fleet->number("zones", 1));
@@ -175,12 +175,14 @@
              std::to_string(static_cast<long>(e.memory_tokens)) + "\" release=\"true\" places=\"" +
              (e.places ? "true" : "false") + "\" reports=\"" + (e.reports ? "true" : "false") +
              "\" cache-events=\"" + (e.cache_events ? "true" : "false") + "\"/>\n";
+  const bool tiers = p.limits && p.zones > 1;
   char figures[96];
   std::snprintf(figures, sizeof figures, "cold-from=\"%.3f\" fall-multiple=\"%.3f\"", p.rules.cold_from,
                 p.rules.fall_multiple);
   out += "    <roster server=\"" + roster + "\" every=\"50ms\"/>\n    <rules drain-grace=\"" +
          ms(p.rules.drain_grace) + "\" pin-limit=\"" + ms(p.rules.pin_limit) + "\" cold=\"" +
-         ms(p.rules.cold) + "\" fall=\"" + ms(p.rules.fall) + "\" " + figures + "/>\n  </pool>\n";
+         ms(p.rules.cold) + "\" fall=\"" + ms(p.rules.fall) + "\" " + figures + "/>\n" +
+         (p.limits ? "    <sends repeats=\"0.2\"/>\n    <caps/>\n    <spill/>\n" : "") + "  </pool>\n";
   for (const auto& r : p.routes) {
     out += "  <route name=\"" + r.name + "\" model=\"" + r.name + "\" pool=\"main\" first-token-target=\"" +
            ms(r.target) + "\" route-timeout=\"" + ms(r.timeout) + "\" value=\"" + std::to_string(r.value) +
@@ -188,10 +190,18 @@
     if (r.effect == Effect::Deduped)
       out += std::string(" dedupe-group=\"") + word(groups, r.group) + "\" dedupe-window=\"" + ms(r.window) +
              "\"";
-    if (r.relay.empty()) out += "/>\n";
-    else
-      out += ">\n    <relay tools=\"" + r.relay + "\" rounds=\"" + std::to_string(r.rounds) +
-             "\" call-time=\"2s\"/>\n  </route>\n";
+    std::string parts;
+    if (tiers) {
+      std::string others;
+      for (int z = 0; z < p.zones; ++z)
+        if (z != number % p.zones) others += (others.empty() ? "hall-" : " hall-") + std::to_string(z);
+      parts += "    <prefer zones=\"hall-" + std::to_string(number % p.zones) + "\"/>\n    <prefer zones=\"" +
+               others + "\"/>\n";
+    }
+    if (!r.relay.empty())
+      parts += "    <relay tools=\"" + r.relay + "\" rounds=\"" + std::to_string(r.rounds) +
+               "\" call-time=\"2s\"/>\n";
+    out += parts.empty() ? "/>\n" : ">\n" + parts + "  </route>\n";
   }
   if (!tool_servers.empty()) {
     out += "  <tools list-every=\"200ms\">\n";
--- a/src/lab/plan.hpp
+++ b/src/lab/plan.hpp
@@ -57,6 +57,7 @@
   Span length = Span::millis(10000), roster_late = Span::millis(300);
   std::vector<EngineOptions> engines;
   int fronts = 1, held = 512, zones = 1;
+  bool limits = false;  // caps, a budget of repeats, and tiers: each front prefers its own hall
   bool admin = false;  // each front has its admin interface on a unix socket in the folder
   RuleFigures rules;
   std::vector<PlannedRoute> routes;
