--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -13,6 +13,7 @@
 #include "front/bounded_queue.hpp"
 #include "front/bounds.hpp"
 #include "front/cases.hpp"
+#include "front/keeping.hpp"
 #include "front/keys.hpp"
 #include "front/links.hpp"
 #include "front/workers.hpp"
@@ -39,6 +40,7 @@
 constexpr std::size_t cache_bytes = 64 << 20;  // of one event of an engine's cache
 constexpr Span halls_every = Span::millis(100);
 constexpr Span cache_again = Span::millis(500), cache_silence = Span::millis(10000);
+constexpr std::size_t runs_a_slice = 256;  // of an index, copied out between two events
 constexpr std::size_t errand_threads = 64, errands_waiting = 65536;
 
 // What a send's end says of its engine's hall. Silence counts where not even a connection came about: a hall
@@ -153,6 +155,7 @@
 };
 struct Heard {
   FleetListed list;
+  std::map<EngineId, std::string> incarnations;
   std::optional<std::vector<std::string>> fronts;
 };
 struct CacheSaid {
@@ -285,7 +288,7 @@
   };
   struct PoolParts {
     PoolParts(std::size_t number, const settings::Pool& p, const std::string& name, std::uint64_t seed,
-              const std::vector<std::string>& zones)
+              const std::vector<std::string>& zones, const limits::CapRules& caps)
         : halls(p.halls, zones, p.routing.zone, seed),
           index(number),
           settings(p),
@@ -293,7 +296,7 @@
           cases(name, p.routing),
           links(p.routing.link_idle, 256),
           knowledge({p.index_blocks, p.index_engines, 200000, p.routing.fronts}, p.routing.kinds, tell(p)),
-          bounds(p.caps, p.spill, p.routing, p.route_caps, p.route_tiers, zones),
+          bounds(caps, p.spill, p.routing, p.route_caps, p.route_tiers, zones),
           zone_count(zones.size()),
           follower(kinds(p), zones) {
       std::vector<bool> release;
@@ -313,6 +316,10 @@
     halls::Halls halls;  // the owner's alone
     const std::size_t index;
     const settings::Pool& settings;
+    std::optional<keep::PoolMemory> found;  // from before the restart; until the first list
+    std::map<EngineId, std::string> incarnations;
+    std::map<EngineId, double> taken;  // when it was copied out last
+    std::optional<Instant> copied_at;  // the keeper's thread's alone
     Router router;  // the owner's alone, as the next four
     Cases cases;
     std::map<InfId, Open> open;
@@ -339,9 +346,24 @@
     char stamp[32];
     std::snprintf(stamp, sizeof stamp, "%08x", chance());
     const std::uint64_t seed = s.seed != 0 ? s.seed : (std::uint64_t{chance()} << 32 | chance());
-    for (std::size_t k = 0; k < s.pools.size(); ++k)
+    if (s.keep) keeping = std::make_unique<Keeping>(*s.keep, s.name, core.log_);
+    for (std::size_t k = 0; k < s.pools.size(); ++k) {
+      std::optional<keep::PoolMemory> found;
+      for (const auto& kept : keeping ? keeping->found().pools : std::vector<keep::PoolMemory>{})
+        if (kept.name == s.pools[k].name) found = kept;
+      limits::CapRules caps = s.pools[k].caps;
+      if (found && caps.on)
+        caps.knee.first = std::clamp(keep::aged_cap(found->cap, caps.knee.first, *keeping->away()), caps.knee.least,
+                                     caps.knee.most);
       pools.push_back(std::make_unique<PoolParts>(
-          k, s.pools[k], s.name + "." + stamp + "." + std::to_string(k), seed + k, s.zones));
+          k, s.pools[k], s.name + "." + stamp + "." + std::to_string(k), seed + k, s.zones, caps));
+      pools.back()->found = std::move(found);
+    }
+    if (keeping)
+      for (const auto& m : keeping->found().marks) {
+        const auto aged = keep::age(m, keeping->wall_at_start(), keeping->at_start());
+        keys.restore({m.route, m.key, aged.first, aged.unsure, true});
+      }
   }
 
   // ---- the owner of the modules
@@ -391,6 +413,103 @@
     }
   }
 
+  // What was kept of this pool, once its engines are known: of those that are still the same processes.
+  void recall(PoolParts& p, Instant now) {
+    if (!p.found) return;
+    const keep::PoolMemory found = std::move(*std::exchange(p.found, {}));
+    std::vector<std::optional<std::pair<EngineId, double>>> known(found.engines.size());
+    std::int64_t same = 0, runs = 0;
+    for (std::size_t k = 0; k < found.engines.size(); ++k) {
+      const auto id = p.book.named(found.engines[k].address);
+      const auto word = id ? p.incarnations.find(*id) : p.incarnations.end();
+      if (word == p.incarnations.end()) continue;
+      if (const auto more = keep::more_distance(found.engines[k], word->second, *keeping->away()))
+        known[k] = {*id, *more}, ++same;
+    }
+    for (const auto& r : found.runs) {
+      prefix::Index::KeptRun run;
+      run.after = r.after, run.depth = r.depth, run.blocks = r.blocks;
+      for (const auto& part : r.kept)
+        if (const auto& engine = known[part.engine])
+          run.kept.push_back({engine->first, part.blocks, static_cast<double>(part.distance) + engine->second});
+      if (!run.kept.empty()) p.knowledge.restore(run), ++runs;
+    }
+    for (const auto& address : found.held_engines)
+      if (const auto id = p.book.named(address)) judge_halls(p, now, p.halls.hold_engine(*id, true));
+    for (const auto& hall : found.held_halls)
+      for (std::size_t z = 0; z < settings.zones.size(); ++z)
+        if (settings.zones[z] == hall)
+          judge_halls(p, now, p.halls.hold_out(now, static_cast<std::uint8_t>(z), true));
+    core.log_.line(Level::Info, "state recalled",
+                   {{"pool", p.settings.name},
+                    {"engines", same},
+                    {"of", static_cast<std::int64_t>(found.engines.size())},
+                    {"runs", runs},
+                    {"ms", (clock_now() - now).as_millis()}});
+  }
+
+  // What is to be kept, copied out in slices; false where the owner has too much to do.
+  bool collect(keep::State& out) {
+    const auto soon = [] { return clock_now() + Span::millis(1000); };
+    Span longest;
+    for (const auto& pool : pools) {
+      PoolParts& p = *pool;
+      keep::PoolMemory mine;
+      mine.name = p.settings.name;
+      std::map<EngineId, std::uint32_t> places;
+      const Instant now = clock_now();
+      const double over = p.copied_at ? (now - *p.copied_at).seconds() : 0;
+      const auto engines = [&](Instant begun) {
+        for (const auto& [id, word] : p.incarnations) {
+          const auto at = p.book.find(id);
+          if (!at || word.empty()) continue;
+          places[id] = static_cast<std::uint32_t>(mine.engines.size());
+          const double taken = p.knowledge.index().taken_in(id), before = p.taken[id];
+          mine.engines.push_back({net::text_of(*at), word, over > 0 && taken >= before ? (taken - before) / over : 0});
+          p.taken[id] = taken;
+          if (p.halls.held_by_hand(id)) mine.held_engines.push_back(mine.engines.back().address);
+        }
+        for (std::size_t z = 0; z < settings.zones.size(); ++z)
+          if (p.halls.held_by_hand(static_cast<std::uint8_t>(z))) mine.held_halls.push_back(settings.zones[z]);
+        if (p.settings.caps.on) mine.cap = p.bounds.caps().cap();
+        longest = std::max(longest, clock_now() - begun);
+      };
+      if (!core.with_owner(engines, soon())) return false;
+      p.copied_at = now;
+      for (std::optional<std::size_t> from = 0; from;) {
+        std::vector<prefix::Index::KeptRun> some;
+        const auto slice = [&](Instant) {
+          const Instant begun = clock_now();
+          from = p.knowledge.index().copy(*from, runs_a_slice, some);
+          longest = std::max(longest, clock_now() - begun);
+        };
+        if (!core.with_owner(slice, soon())) return false;
+        for (auto& r : some) {
+          keep::RunMemory run;
+          run.after = r.after, run.depth = r.depth, run.blocks = std::move(r.blocks);
+          for (const auto& part : r.kept)
+            if (const auto at = places.find(part.engine); at != places.end())
+              run.kept.push_back({at->second, part.blocks, static_cast<float>(part.distance)});
+          if (!run.kept.empty()) mine.runs.push_back(std::move(run));
+        }
+      }
+      // Runs before those that hang on them.
+      std::stable_sort(mine.runs.begin(), mine.runs.end(),
+                       [](const auto& a, const auto& b) { return a.depth < b.depth; });
+      out.pools.push_back(std::move(mine));
+    }
+    {
+      const std::lock_guard lock(tickets_mutex);
+      const std::int64_t wall = wall_now_ms();
+      const Instant now = clock_now();
+      for (auto& k : keys.all())
+        out.marks.push_back({std::move(k.route), std::move(k.key),
+                             wall - static_cast<std::int64_t>((now - k.first).as_millis()), true, k.unsure, k.over});
+    }
+    core.log_.line(Level::Debug, "state copied", {{"longest_slice_ms", longest.as_millis()}});
+    return true;
+  }
+
   // The number of fronts, where it changed, reaches all modules.
   void count_fronts(Instant now) {
     const auto [count, line] = membership.count(now);
@@ -463,6 +582,8 @@
       about = g->inf;
     } else if (auto* h = std::get_if<Heard>(&r.what)) {
       judge_halls(p, now, p.halls.listed(now, h->list));
+      for (auto& [id, word] : h->incarnations) p.incarnations[id] = std::move(word);
+      recall(p, now);
       if (h->fronts) {
         const auto& names = *h->fronts;
         membership.roster(now, static_cast<int>(names.size()),
@@ -778,8 +899,10 @@
                     {"version", static_cast<std::int64_t>(followed.listed->version)},
                     {"lines", static_cast<std::int64_t>(followed.listed->entries.size())}});
     follow_caches(p, *followed.listed);
+    std::map<EngineId, std::string> incarnations;
+    for (const auto& e : followed.listed->entries) incarnations[e.engine] = p.follower.incarnation_of(e.engine);
     queue.put(
-        {index, Heard{std::move(*followed.listed), std::move(std::get<roster::Document>(parsed).fronts)}});
+        {index, Heard{std::move(*followed.listed), std::move(incarnations), std::move(std::get<roster::Document>(parsed).fronts)}});
     p.heard = true;
   }
 
@@ -922,6 +1045,7 @@
   std::condition_variable paused;
   intake::TokenMeter meter;
   KeyBook keys{keys_kept};  // under tickets_mutex
+  std::unique_ptr<Keeping> keeping;
   std::atomic<InfId> next_inf = 1;
   std::map<InfId, std::weak_ptr<Ticket>> tickets;
   std::vector<std::thread> threads;
@@ -934,6 +1058,7 @@
     : settings_(settings), log_(log), inside_(std::make_unique<Inside>(*this, settings_)) {}
 
 Core::~Core() {
+  keep_and_stop();
   inside_->stopping = true;
   inside_->queue.close();
   inside_->paused.notify_all();
@@ -950,6 +1075,11 @@
       inside_->pools[k]->settings.roster_server ? inside_->follow_server(k) : inside_->follow_file(k);
     });
   inside_->threads.emplace_back([this] { inside_->own(); });
+  if (inside_->keeping) inside_->keeping->start([this](keep::State& out) { return inside_->collect(out); });
+}
+
+void Core::keep_and_stop() {
+  if (inside_->keeping) inside_->keeping->stop();
 }
 
 bool Core::wait_for_rosters(Instant deadline) {
@@ -987,6 +1117,10 @@
     }
     inside_->tickets[inf] = ticket;
   }
+  // On disk before anything can run under the key: a restart must not forget it (rule 2). Where it can't be, the
+  // front serves as one that keeps nothing.
+  if (inside_->keeping && rules.effect == Effect::Deduped && !ticket->asked().key_taken)
+    inside_->keeping->mark({route.name, ticket->asked().dedupe_key, wall_now_ms(), true, false, false});
   if (inside_->queue.offer({route.pool, Taken{ticket, a}})) return {Why::Taken, ticket};
   closed(*ticket);
   if (rules.effect == Effect::Deduped && !ticket->asked().key_taken)
@@ -1012,6 +1146,9 @@
 void Core::key_over(const std::string& route, const std::string& key, bool ran, Instant first, bool unsure) {
   const std::lock_guard lock(inside_->tickets_mutex);
   inside_->keys.ended(route, key, ran, first, unsure);
+  if (!inside_->keeping) return;
+  const std::int64_t ago = static_cast<std::int64_t>((clock_now() - first).as_millis());
+  inside_->keeping->mark_later({route, key, ran ? wall_now_ms() - ago : wall_now_ms(), ran, unsure, true});
 }
 
 void Core::set_prompt(Asked& a, Prompt prompt, std::size_t opening_bytes) const {
--- a/src/front/core.hpp
+++ b/src/front/core.hpp
@@ -135,6 +135,8 @@
   ~Core();
   // Starts the owner of the modules and the followers of the rosters.
   void start();
+  // Keeps what was learnt a last time; called while the core still works.
+  void keep_and_stop();
   // Waits until each pool has heard its first list, at most until the deadline.
   bool wait_for_rosters(Instant deadline);
 
--- a/src/front/keys.cpp
+++ b/src/front/keys.cpp
@@ -11,7 +11,10 @@
                            Span window) {
   const auto [it, fresh] = book_.try_emplace({route, key});
   Entry& e = it->second;
-  if (fresh) return Says::Take;
+  if (fresh) {
+    e.first = now;
+    return Says::Take;
+  }
   if (e.in_work) return Says::InWork;
   if (e.unsure || (e.ran && group != DedupeGroup::All)) return Says::Unsure;
   if (e.ran && now - e.first >= window - margin) return Says::Expired;
@@ -39,4 +42,17 @@
   }
 }
 
+std::vector<KeyBook::Kept> KeyBook::all() const {
+  std::vector<Kept> out;
+  for (const auto& [name, e] : book_) out.push_back({name.first, name.second, e.first, e.unsure, e.ran || !e.in_work});
+  return out;
+}
+
+void KeyBook::restore(const Kept& k) {
+  const auto [it, fresh] = book_.try_emplace({k.route, k.key});
+  if (!fresh) return;
+  it->second.in_work = false, it->second.ran = true, it->second.first = k.first, it->second.unsure = k.unsure;
+  ran_.push_back(it->first);
+}
+
 }  // namespace calicograde::front
--- a/src/front/keys.hpp
+++ b/src/front/keys.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/types.hpp"
 
@@ -30,6 +31,14 @@
   // `unsure`: something may have happened under it that no engine drops a repeat of (a tool's call).
   void ended(const std::string& route, const std::string& key, bool ran, Instant first, bool unsure = false);
   std::size_t size() const { return book_.size(); }
+  // For what is kept through a restart. One in work counts as one that may have run, since it was asked for.
+  struct Kept {
+    std::string route, key;
+    Instant first;
+    bool unsure = false, over = true;  // not over: in work
+  };
+  std::vector<Kept> all() const;
+  void restore(const Kept& kept);
 
  private:
   using Name = std::pair<std::string, std::string>;
--- a/src/prefix/index.cpp
+++ b/src/prefix/index.cpp
@@ -467,6 +467,61 @@
   }
 }
 
+// ---- through a restart
+
+std::optional<std::size_t> Index::copy(std::size_t from, std::size_t most, std::vector<KeptRun>& out) const {
+  std::size_t k = std::max<std::size_t>(1, from);
+  for (const std::size_t end = k + most; k < nodes_.size() && k < end; ++k) {
+    const Node& n = nodes_[k];
+    if (n.run.empty()) continue;
+    KeptRun r;
+    r.after = n.parent == root ? 0 : nodes_[n.parent].run.back();
+    r.depth = n.depth;
+    for (const auto& p : n.kept) {
+      const Box& b = boxes_[p.slot];
+      if (b.listed && !b.tells())
+        r.kept.push_back({b.id, p.blocks, b.odometer - static_cast<double>(p.pushed)});
+    }
+    if (r.kept.empty()) continue;
+    r.blocks = n.run;
+    out.push_back(std::move(r));
+  }
+  return k < nodes_.size() ? std::optional(k) : std::nullopt;
+}
+
+void Index::restore(const KeptRun& r) {
+  if (r.blocks.empty() || r.kept.empty() || places_.contains(r.blocks.front())) return;
+  NodeId parent = root;
+  if (r.after != 0) {
+    const auto at = places_.find(r.after);
+    if (at == places_.end()) return;
+    parent = at->second.node;
+    // It ends a run, unless the runs are not of one tree.
+    if (at->second.at + 1 != nodes_[parent].run.size() || nodes_[parent].depth + at->second.at + 1 != r.depth)
+      return;
+  } else if (r.depth != 0) {
+    return;
+  }
+  const NodeId id = make(parent, r.depth);
+  for (const BlockName name : r.blocks) {
+    if (places_.contains(name)) break;
+    places_[name] = {id, static_cast<std::uint32_t>(nodes_[id].run.size())};
+    nodes_[id].run.push_back(name), ++blocks_;
+  }
+  for (const auto& part : r.kept) {
+    const Slot slot = slot_of(part.engine);
+    const auto blocks = std::min(part.blocks, static_cast<std::uint32_t>(nodes_[id].run.size()));
+    if (slot < boxes_.size() && blocks > 0) hold(id, slot, blocks, boxes_[slot].odometer - part.distance);
+  }
+  touch(id);
+  make_room();
+}
+
+double Index::taken_in(const EngineId& engine) const {
+  const Box* b = box_of(engine);
+  return b ? b->odometer : 0;
+}
+
 std::size_t Index::bytes() const {
   std::size_t n =
       nodes_.capacity() * sizeof(Node) + places_.bucket_count() * (sizeof(BlockName) + sizeof(Place) + 1);
--- a/src/prefix/index.hpp
+++ b/src/prefix/index.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -92,6 +93,25 @@
   void unheard(const EngineId& engine);
   bool tells(const EngineId& engine) const;
 
+  // For what is kept through a restart: runs from the `from`-th on, at the most so many; where to go on, or none
+  // at the end. What changes in between may be missed, never made up. Engines that tell by themselves are left
+  // out: they tell anew.
+  struct KeptRun {
+    BlockName after = 0;  // the block before the first
+    std::uint32_t depth = 0;
+    std::vector<BlockName> blocks;
+    struct Part {
+      EngineId engine;
+      std::uint32_t blocks = 0;
+      double distance = 0;  // tokens taken in since it was touched
+    };
+    std::vector<Part> kept;
+  };
+  std::optional<std::size_t> copy(std::size_t from, std::size_t most, std::vector<KeptRun>& out) const;
+  // Puts a run back, runs before it first; what does not fit is passed over.
+  void restore(const KeptRun& run);
+  double taken_in(const EngineId& engine) const;  // tokens, since it is known
+
   std::size_t blocks() const { return blocks_; }
   std::size_t bytes() const;  // about, of all that is kept
 
--- a/src/prefix/knowledge.hpp
+++ b/src/prefix/knowledge.hpp
@@ -31,6 +31,8 @@
   void synced(const EngineId& engine, std::uint64_t number, const std::vector<Chain>& kept) {
     index_.synced(engine, number, kept);
   }
+  const Index& index() const { return index_; }
+  void restore(const Index::KeptRun& run) { index_.restore(run); }
 
  private:
   struct Open {
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -53,6 +53,11 @@
   // The address of an engine that was ever listed; empty if none was.
   const std::string& address_of(const EngineId& id) const;
   const std::map<EngineId, std::string>& addresses() const { return addresses_; }
+  // The word for its present process; empty if the roster gives none.
+  std::string incarnation_of(const EngineId& id) const {
+    const auto it = known_.find(id);
+    return it == known_.end() ? std::string() : it->second.incarnation;
+  }
 
  private:
   struct Known {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -121,6 +121,10 @@
           fault(*t, std::string(name) + " is 0", "every wait needs an end above 0");
     }
     if (const auto* b = e.child("budget")) out.budget_header = b->text("header");
+    if (const auto* k = e.child("keep")) {
+      out.keep = Keep{k->text("folder"), k->time("every", Span::millis(10000))};
+      if (out.keep->every < Span::millis(100)) fault(*k, "every is under 100ms", "give 100ms or more");
+    }
     if (const auto* a = e.child("admin")) out.admin = admin(*a);
     if (const auto* l = e.child("log"))
       out.log_level = l->text("level", "info"), out.log_file = l->text("file");
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -81,6 +81,12 @@
   std::size_t connections = 64;
 };
 
+// What is learnt is kept in a folder through restarts.
+struct Keep {
+  std::string folder;
+  Span every = Span::millis(10000);
+};
+
 struct Front {
   std::string name;
   int number = 0, of = 1;
@@ -96,6 +102,7 @@
   std::vector<Route> routes;
   std::optional<Tools> tools;
   std::optional<Admin> admin;
+  std::optional<Keep> keep;
   std::string text, digest;  // of the settings' file: as read, and its 128 bits in hex
 };
 
--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -6,6 +6,7 @@
 #include "settings/settings.hpp"
 #include "tool/fleet_commands.hpp"
 #include "tool/pages.hpp"
+#include "tool/state_commands.hpp"
 #include "version.hpp"
 
 using namespace calicograde;
@@ -52,6 +53,7 @@
   auto* schema = app.add_subcommand("schema", "print the schema (XSD) of the settings");
   std::function<int()> chosen;
   tool::add_fleet(app, chosen);
+  tool::add_state(app, chosen);
   auto* man = app.add_subcommand("man", "print the manual page");
   auto* completion = app.add_subcommand("completion", "print completion for bash");
   auto* config = app.add_subcommand("config", "compare settings");
