--- a/src/emulator/experiment.cpp
+++ b/src/emulator/experiment.cpp
@@ -55,7 +55,8 @@
              std::to_string(static_cast<int>(w.caps_by)) + std::to_string(w.lost_silent) + " " +
              std::to_string(w.spill_bound) + " " + std::to_string(w.repeats) + " " +
              std::to_string(w.losses) + " " + std::to_string(w.back_share) + " " +
-             std::to_string(w.front_restarts.value_or(Span{}).as_millis());
+             std::to_string(w.front_restarts.value_or(Span{}).as_millis()) +
+             std::to_string(static_cast<int>(w.front_keeps)) + std::to_string(w.away.as_millis());
   if (s.ramp != 1) whole += " ramp " + std::to_string(s.ramp);
   if (s.recorded) whole += text_of(*s.recorded);
   char digest[20];
@@ -115,6 +116,8 @@
   // lost, and from its return until 1.5 times the warm-up later. And how long after the return it took until
   // five seconds in a row had 90% of what was served before the loss.
   double served = 0, served_lost = 0, served_back = 0, settle = 0;
+  // Hit rate in the five seconds after a front's restart, and in the minute after it.
+  double hit_5 = 0, hit_60 = 0;
   std::vector<double> by_second;  // served, from 0 s on; below 0 = nobody asked
 };
 constexpr double late_value = 0.2, settled = 0.9;
@@ -177,6 +180,16 @@
   out.p50 = quantile(answered, 0.5, 0), out.p99 = quantile(answered, 0.99, 0);
   out.late = late / n, out.lost = (n - static_cast<double>(answered.size())) / n;
   by_phase(out, seconds, w);
+  if (w.front_restarts) {
+    const double from = w.front_restarts->seconds();
+    const auto hit_over = [&](double length) {
+      double got = 0, whole = 0;
+      for (std::size_t k = 0; k < outcome.size(); ++k)
+        if (outcome[k] == 0 && at[k] >= from && at[k] < from + length) got += found[k], whole += asked[k];
+      return ratio(got, whole);
+    };
+    out.hit_5 = hit_over(5), out.hit_60 = hit_over(60);
+  }
   return out;
 }
 
@@ -296,6 +309,10 @@
     w.losses = static_cast<int>(a->number("losses", w.losses));
     w.lost_silent = a->flag("lost-silent", false), w.back_share = a->number("back-share", w.back_share);
     if (a->attribute("front-restarts")) w.front_restarts = a->time("front-restarts", {});
+    w.front_keeps = a->text("front-keeps") == "file"   ? WorldShape::Keeps::File
+                    : a->text("front-keeps") == "lies" ? WorldShape::Keeps::Lies
+                                                       : WorldShape::Keeps::Nothing;
+    w.away = a->time("away", w.away);
     w.caps = a->attribute("caps") != nullptr;
     w.caps_by = a->text("caps") == "gradient" ? limits::KneeRules::By::Gradient : limits::KneeRules::By::Aimd;
     w.tiers = a->flag("tiers", false), w.round_robin = a->flag("round-robin", false);
@@ -355,6 +372,7 @@
      << " seeds; means with 95% intervals; differences are to `" << e.arms.front().name
      << "`, paired by seed. Hit rate: tokens found kept / tokens asked. Lost: shed or errored. Push: the "
         "most sent to a cold engine in the window of rule 4, as a share of what it bears.\n";
+  std::string restarts;
   std::ofstream data(folder + "/" + e.name + ".dat");
   for (const auto& l : e.loads) {
     md << "\n## " << l.name
@@ -390,11 +408,23 @@
         md << text(between(gone), "%.1f", 100) << " | " << text(between(back), "%.1f", 100) << " | "
            << text(between(settle), "%.1f") << " |\n";
       else md << "| | |\n";
+      if (a.world.front_restarts) {
+        std::vector<double> five, sixty;
+        for (int s = 1; s <= e.seeds; ++s) {
+          const auto f = figures_of(run_file(folder, e, a, l, s), a.world);
+          five.push_back(f->hit_5), sixty.push_back(f->hit_60);
+        }
+        restarts += "| " + l.name + " | " + a.name + " | " + text(between(five), "%.3f") + " | " +
+                    text(between(sixty), "%.3f") + " |\n";
+      }
       write_series(folder + "/" + e.name + "." + l.name + "." + a.name + ".series.dat", by_second);
       data << '"' << l.name << "\" \"" << a.name << "\" " << h.mean << ' ' << h.half << ' ' << p.mean << ' '
            << p.half << '\n';
     }
   }
+  if (!restarts.empty())
+    md << "\n## After a front's restart\n\n| load | arm | hit rate in 5 s | in 60 s |\n| --- | --- | --- | --- |\n"
+       << restarts;
   data.close();
   chart_series(e, folder);
   // Charts: a group of bars a load, a bar an arm.
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -12,6 +12,7 @@
 #include "front/bounds.hpp"
 #include "front/cases.hpp"
 #include "halls/halls.hpp"
+#include "keep/ageing.hpp"
 #include "prefix/knowledge.hpp"
 #include "routing/router.hpp"
 
@@ -196,8 +197,18 @@
                                    s_.knows == Knows::Events, rules_, s_, k);
   }
 
+  std::vector<prefix::Index::KeptRun> copy_of(const Front& f) {
+    std::vector<prefix::Index::KeptRun> out;
+    if (s_.front_keeps == WorldShape::Keeps::Nothing) return out;
+    for (std::optional<std::size_t> from = 0; from;) from = f.knowledge.index().copy(*from, 256, out);
+    std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.depth < b.depth; });
+    for (const auto& b : boxes_) taken_[b.id] = f.knowledge.index().taken_in(b.id);
+    return out;
+  }
+
   // Killed and started again: it knows nothing, and what it had in work is its clients' to try again.
   void restart_front(std::size_t f) {
+    const auto kept = copy_of(*fronts_[f]);
     fronts_[f] = fresh_front(f, ++starts_);
     for (auto it = sent_.begin(); it != sent_.end();) {
       if (it->second.front != f) {
@@ -215,6 +226,18 @@
       if (inf.front == f && !inf.over) lost.push_back(id);
     for (const InfId id : lost) over(f, id, Span::millis(100), row(id).outcome != 0);
     tell_list(f);
+    // As front/core does with what it finds: by the rate at which each engine took in before.
+    const double over_s = std::max(1.0, (now_ - Instant{}).seconds());
+    for (auto run : kept) {
+      for (auto& part : run.kept) {
+        const auto box = by_id_.at(part.engine);
+        const keep::EngineMemory engine{"", std::to_string(boxes_[box].life), taken_.at(part.engine) / over_s};
+        part.distance += keep::more_distance(engine, engine.incarnation, s_.away).value_or(1e12);
+        if (s_.front_keeps == WorldShape::Keeps::Lies)
+          part.engine = boxes_[(box + 1) % static_cast<std::size_t>(s_.readers)].id;
+      }
+      fronts_[f]->knowledge.restore(run);
+    }
   }
 
   void tell_list(std::size_t f) {
@@ -635,6 +658,7 @@
   prefix::Limits limits_;
   halls::Rules rules_;
   std::uint64_t starts_ = 0;
+  std::map<EngineId, double> taken_;
 };
 
 }  // namespace
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -462,12 +462,13 @@
       const auto engines = [&](Instant begun) {
         for (const auto& [id, word] : p.incarnations) {
           const auto at = p.book.find(id);
+          if (at && p.halls.held_by_hand(id)) mine.held_engines.push_back(net::text_of(*at));
+          // Without a word for its process nobody could tell whether it is the same one later.
           if (!at || word.empty()) continue;
           places[id] = static_cast<std::uint32_t>(mine.engines.size());
           const double taken = p.knowledge.index().taken_in(id), before = p.taken[id];
           mine.engines.push_back({net::text_of(*at), word, over > 0 && taken >= before ? (taken - before) / over : 0});
           p.taken[id] = taken;
-          if (p.halls.held_by_hand(id)) mine.held_engines.push_back(mine.engines.back().address);
         }
         for (std::size_t z = 0; z < settings.zones.size(); ++z)
           if (p.halls.held_by_hand(static_cast<std::uint8_t>(z))) mine.held_halls.push_back(settings.zones[z]);
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -14,6 +14,7 @@
 #include "emulator/experiment.hpp"
 #include "lab/client.hpp"
 #include "lab/day.hpp"
+#include "lab/keep_kill.hpp"
 #include "lab/load.hpp"
 #include "lab/measure.hpp"
 #include "net/clock.hpp"
@@ -241,6 +242,11 @@
   experiment_cmd->add_option("--out", out_folder, "folder of the runs, tables and charts");
   experiment_cmd->add_option("--threads", threads, "runs at a time")->check(CLI::Range(1, 256));
   experiment_cmd->add_flag("--report", only_report, "tables and charts only, from runs kept before");
+  unsigned seed = 1;
+  auto* kill_cmd = app.add_subcommand(
+      "keep-kill", "kill a process that keeps state at random moments, and look what it left each time");
+  kill_cmd->add_option("--times", times, "how often")->check(CLI::Range(1, 100000));
+  kill_cmd->add_option("--seed", seed, "of the moments");
   LoadWords words;
   lab::LoadOptions loaded;
   emulator::LoadShape shape;
@@ -294,6 +300,10 @@
       const Folder folder;
       return lab::measure(measured, daemon, folder.path());
     }
+    if (*kill_cmd) {
+      const Folder folder;
+      return lab::keep_kill(folder.path(), times, seed);
+    }
     if (*load_cmd) return load(words, loaded, shape);
     if (*experiment_cmd) return experiment(file, out_folder, threads, only_report);
     const auto plan = plan_of(file);
--- a/tests/program/admin_test.cpp
+++ b/tests/program/admin_test.cpp
@@ -11,6 +11,7 @@
 #include "fleet/run.hpp"
 #include "front/admin_front.hpp"
 #include "front/messages_front.hpp"
+#include "keep/store.hpp"
 #include "lab/client.hpp"
 #include "lab/engine_standin.hpp"
 #include "lab/plan.hpp"
@@ -88,6 +89,7 @@
       roster::Line l;
       l.address = e.address(), l.kind = e.options().kind, l.zone = e.options().zone,
       l.rack = e.options().rack;
+      l.incarnation = e.incarnation();
       roster.change(l);
     }
     for (int k = 0; k < fronts; ++k) all.push_back(std::make_unique<AFront>(plan, k, roster.address()));
@@ -281,6 +283,66 @@
   ::unlink(f.state.c_str());
 }
 
+// A front that is started again knows which reader keeps what, what is held out by hand, and which keys may
+// have run.
+TEST(Keeping, WhatWasLearntStandsThroughARestart) {
+  auto plan = lab::small_plan();
+  for (auto& e : plan.engines) e.emulated = true;
+  plan.routes.push_back({"pay", Effect::Deduped, DedupeGroup::Zone, Span::millis(3000), Span::millis(12000), Span::millis(60000), 2});
+  Town town(2, plan);
+  auto& f = *town.all[0];
+  f.end();
+  const std::string kept = folder() + "/kept";
+  ::mkdir(kept.c_str(), 0700);
+  f.settings->keep = settings::Keep{kept, Span::millis(100)};
+  f.start();
+  const auto ask = [&](int text, const std::string& mark) {
+    auto c = town.call(0, mark);
+    c.text = std::string(3000, static_cast<char>('a' + text));
+    EXPECT_EQ(lab::call(c, town.records).how, "completed");
+    std::string where;
+    for (const auto& r : town.records.all())
+      if (r.what == "send" && r.how == "read" && r.mark == mark) where = r.where;
+    return where;
+  };
+  std::vector<std::string> readers;
+  for (int k = 0; k < 8; ++k) readers.push_back(ask(k, "first-" + std::to_string(k)));
+  auto pay = town.call(0, "pay-1");
+  pay.route = "pay", pay.key = "order-1";
+  EXPECT_EQ(lab::call(pay, town.records).how, "completed");
+  const std::string held = town.engines[3]->address();
+  ASSERT_EQ(fleet::ask(f.target, "POST", "/admin/v1/hold-out", {{"engine", held}, {"out", true}}, clock_now() + each).result,
+            Result::Done);
+  // Until a snapshot holds all of it.
+  EXPECT_TRUE(until([&] {
+    keep::Folder disk(kept, true);
+    std::string wrong;
+    for (const auto& name : disk.list()) {
+      if (!name.ends_with(".snap")) continue;
+      const auto bytes = disk.read(name, wrong);
+      const auto state = bytes ? keep::decode(*bytes).state : std::nullopt;
+      if (state && state->pools[0].runs.size() >= 8 && !state->pools[0].held_engines.empty() && !state->marks.empty())
+        return true;
+    }
+    return false;
+  }));
+  f.end();
+  f.start();
+  for (int k = 0; k < 8; ++k) EXPECT_EQ(ask(k, "again-" + std::to_string(k)), readers[static_cast<std::size_t>(k)]) << k;
+  pay.mark = "pay-2", pay.front = f.server->addresses()[0];
+  EXPECT_EQ(lab::call(pay, town.records).how, "refused");  // 409: it may have run where a repeat can't be bound to
+  const auto list = fleet::ask(f.target, "GET", "/admin/v1/engines", {}, clock_now() + each);
+  for (const auto& e : list.body["engines"]) EXPECT_EQ(e["judged"] == "held out", e["address"] == held);
+  // A second process on the folder, and a folder that is not there: a plain line, and a front that serves.
+  auto& second = *town.all[1];
+  second.end();
+  second.settings->keep = settings::Keep{"/nowhere/at/all", Span::millis(100)};
+  second.start();
+  auto c = town.call(0, "second");
+  c.front = second.server->addresses()[0];
+  EXPECT_EQ(lab::call(c, town.records).how, "completed");
+}
+
 // Fronts that misbehave: each ends as what it is, and none as done.
 TEST(Fleet, SilentHalfAnsweringDyingAndRefusingFrontsAreNoSuccess) {
   enum class Does { Silent, HalfLine, Garbage, DiesAfterAsked, Refuses, OtherVersion };
