--- a/src/emulator/experiment.cpp
+++ b/src/emulator/experiment.cpp
@@ -423,7 +423,8 @@
     }
   }
   if (!restarts.empty())
-    md << "\n## After a front's restart\n\n| load | arm | hit rate in 5 s | in 60 s |\n| --- | --- | --- | --- |\n"
+    md << "\n## After a front's restart\n\n| load | arm | hit rate in 5 s | in 60 s |\n| --- | --- | --- | "
+          "--- |\n"
        << restarts;
   data.close();
   chart_series(e, folder);
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -231,7 +231,8 @@
     for (auto run : kept) {
       for (auto& part : run.kept) {
         const auto box = by_id_.at(part.engine);
-        const keep::EngineMemory engine{"", std::to_string(boxes_[box].life), taken_.at(part.engine) / over_s};
+        const keep::EngineMemory engine{"", std::to_string(boxes_[box].life),
+                                        taken_.at(part.engine) / over_s};
         part.distance += keep::more_distance(engine, engine.incarnation, s_.away).value_or(1e12);
         if (s_.front_keeps == WorldShape::Keeps::Lies)
           part.engine = boxes_[(box + 1) % static_cast<std::size_t>(s_.readers)].id;
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -320,7 +320,7 @@
     std::map<EngineId, std::string> incarnations;
     std::map<EngineId, double> taken;  // when it was copied out last
     std::optional<Instant> copied_at;  // the keeper's thread's alone
-    Router router;  // the owner's alone, as the next four
+    Router router;                     // the owner's alone, as the next four
     Cases cases;
     std::map<InfId, Open> open;
     std::multimap<Instant, std::uint64_t> timers;
@@ -353,8 +353,8 @@
         if (kept.name == s.pools[k].name) found = kept;
       limits::CapRules caps = s.pools[k].caps;
       if (found && caps.on)
-        caps.knee.first = std::clamp(keep::aged_cap(found->cap, caps.knee.first, *keeping->away()), caps.knee.least,
-                                     caps.knee.most);
+        caps.knee.first = std::clamp(keep::aged_cap(found->cap, caps.knee.first, *keeping->away()),
+                                     caps.knee.least, caps.knee.most);
       pools.push_back(std::make_unique<PoolParts>(
           k, s.pools[k], s.name + "." + stamp + "." + std::to_string(k), seed + k, s.zones, caps));
       pools.back()->found = std::move(found);
@@ -431,7 +431,8 @@
       run.after = r.after, run.depth = r.depth, run.blocks = r.blocks;
       for (const auto& part : r.kept)
         if (const auto& engine = known[part.engine])
-          run.kept.push_back({engine->first, part.blocks, static_cast<double>(part.distance) + engine->second});
+          run.kept.push_back(
+              {engine->first, part.blocks, static_cast<double>(part.distance) + engine->second});
       if (!run.kept.empty()) p.knowledge.restore(run), ++runs;
     }
     for (const auto& address : found.held_engines)
@@ -467,11 +468,13 @@
           if (!at || word.empty()) continue;
           places[id] = static_cast<std::uint32_t>(mine.engines.size());
           const double taken = p.knowledge.index().taken_in(id), before = p.taken[id];
-          mine.engines.push_back({net::text_of(*at), word, over > 0 && taken >= before ? (taken - before) / over : 0});
+          mine.engines.push_back(
+              {net::text_of(*at), word, over > 0 && taken >= before ? (taken - before) / over : 0});
           p.taken[id] = taken;
         }
         for (std::size_t z = 0; z < settings.zones.size(); ++z)
-          if (p.halls.held_by_hand(static_cast<std::uint8_t>(z))) mine.held_halls.push_back(settings.zones[z]);
+          if (p.halls.held_by_hand(static_cast<std::uint8_t>(z)))
+            mine.held_halls.push_back(settings.zones[z]);
         if (p.settings.caps.on) mine.cap = p.bounds.caps().cap();
         longest = std::max(longest, clock_now() - begun);
       };
@@ -505,7 +508,8 @@
       const Instant now = clock_now();
       for (auto& k : keys.all())
         out.marks.push_back({std::move(k.route), std::move(k.key),
-                             wall - static_cast<std::int64_t>((now - k.first).as_millis()), true, k.unsure, k.over});
+                             wall - static_cast<std::int64_t>((now - k.first).as_millis()), true, k.unsure,
+                             k.over});
     }
     core.log_.line(Level::Debug, "state copied", {{"longest_slice_ms", longest.as_millis()}});
     return true;
@@ -901,9 +905,10 @@
                     {"lines", static_cast<std::int64_t>(followed.listed->entries.size())}});
     follow_caches(p, *followed.listed);
     std::map<EngineId, std::string> incarnations;
-    for (const auto& e : followed.listed->entries) incarnations[e.engine] = p.follower.incarnation_of(e.engine);
-    queue.put(
-        {index, Heard{std::move(*followed.listed), std::move(incarnations), std::move(std::get<roster::Document>(parsed).fronts)}});
+    for (const auto& e : followed.listed->entries)
+      incarnations[e.engine] = p.follower.incarnation_of(e.engine);
+    queue.put({index, Heard{std::move(*followed.listed), std::move(incarnations),
+                            std::move(std::get<roster::Document>(parsed).fronts)}});
     p.heard = true;
   }
 
@@ -1118,8 +1123,8 @@
     }
     inside_->tickets[inf] = ticket;
   }
-  // On disk before anything can run under the key: a restart must not forget it (rule 2). Where it can't be, the
-  // front serves as one that keeps nothing.
+  // On disk before anything can run under the key: a restart must not forget it (rule 2). Where it can't be,
+  // the front serves as one that keeps nothing.
   if (inside_->keeping && rules.effect == Effect::Deduped && !ticket->asked().key_taken)
     inside_->keeping->mark({route.name, ticket->asked().dedupe_key, wall_now_ms(), true, false, false});
   if (inside_->queue.offer({route.pool, Taken{ticket, a}})) return {Why::Taken, ticket};
--- a/src/front/keeping.cpp
+++ b/src/front/keeping.cpp
@@ -54,7 +54,9 @@
   if (wrong.empty()) log_.line(log::Level::Info, "state kept again", {{"folder", settings_.folder}});
   else
     log_.line(log::Level::Error, "state not kept",
-              {{"folder", settings_.folder}, {"what", wrong}, {"mend", "the front serves without; see docs/operators/state.md"}});
+              {{"folder", settings_.folder},
+               {"what", wrong},
+               {"mend", "the front serves without; see docs/operators/state.md"}});
 }
 
 bool Keeping::mark(const keep::Mark& m) {
--- a/src/front/keeping.hpp
+++ b/src/front/keeping.hpp
@@ -15,9 +15,9 @@
 
 namespace calicograde::front {
 
-// What a front has learnt, kept in its folder: snapshots now and then, marks of idempotency keys at once, many
-// with one sync. Where the folder can't be had, is full or slow, the front serves without, and one line says
-// so. Thread-safe.
+// What a front has learnt, kept in its folder: snapshots now and then, marks of idempotency keys at once,
+// many with one sync. Where the folder can't be had, is full or slow, the front serves without, and one line
+// says so. Thread-safe.
 class Keeping {
  public:
   Keeping(const settings::Keep& settings, const std::string& front, log::Log& log);
--- a/src/keep/ageing.hpp
+++ b/src/keep/ageing.hpp
@@ -12,7 +12,7 @@
 namespace calicograde::keep {
 
 struct AgeRules {
-  Span most = Span::millis(3600000);  // away for longer, or for less than nothing: only marks are taken
+  Span most = Span::millis(3600000);   // away for longer, or for less than nothing: only marks are taken
   Span unsure = Span::millis(300000);  // marks: a wall clock may be off by so much between two starts
 };
 
@@ -29,7 +29,8 @@
 
 // Distances of an engine's texts grow by what it took in meanwhile: as much a second as before, seen by this
 // front, which the others' sends stand beside as ever. None: it is another process, or nobody can tell.
-std::optional<double> more_distance(const EngineMemory& engine, const std::string& incarnation_now, Span away);
+std::optional<double> more_distance(const EngineMemory& engine, const std::string& incarnation_now,
+                                    Span away);
 
 // An adaptive cap drifts back towards what it would begin with: halfway in a minute.
 double aged_cap(double kept, double first, Span away);
--- a/src/keep/disk.cpp
+++ b/src/keep/disk.cpp
@@ -33,7 +33,8 @@
 }
 
 std::string Folder::create(const std::string& name) {
-  net::Fd fd(::openat(folder_.get(), name.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
+  net::Fd fd(
+      ::openat(folder_.get(), name.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
   if (!fd) return cause("create", path_ + "/" + name);
   open_[name] = std::move(fd);
   return {};
--- a/src/keep/state.cpp
+++ b/src/keep/state.cpp
@@ -39,10 +39,16 @@
 }
 
 flatbuffers::Offset<fb::Mark> put_mark(flatbuffers::FlatBufferBuilder& b, const Mark& m) {
-  return fb::CreateMark(b, b.CreateString(m.route), b.CreateString(m.key), m.first_ms, m.ran, m.unsure, m.over);
+  return fb::CreateMark(b, b.CreateString(m.route), b.CreateString(m.key), m.first_ms, m.ran, m.unsure,
+                        m.over);
 }
 Mark take_mark(const fb::Mark& m) {
-  return {m.route() ? m.route()->str() : "", m.key() ? m.key()->str() : "", m.first_ms(), m.ran(), m.unsure(), m.over()};
+  return {m.route() ? m.route()->str() : "",
+          m.key() ? m.key()->str() : "",
+          m.first_ms(),
+          m.ran(),
+          m.unsure(),
+          m.over()};
 }
 
 template <class T>
@@ -57,7 +63,8 @@
   flatbuffers::FlatBufferBuilder b(1 << 20);
   std::vector<flatbuffers::Offset<fb::Engine>> engines;
   for (const auto& e : p.engines)
-    engines.push_back(fb::CreateEngine(b, b.CreateString(e.address), b.CreateString(e.incarnation), e.taken_per_s));
+    engines.push_back(
+        fb::CreateEngine(b, b.CreateString(e.address), b.CreateString(e.incarnation), e.taken_per_s));
   std::vector<flatbuffers::Offset<fb::Run>> runs;
   for (const auto& r : p.runs) {
     std::vector<fb::Part> kept;
@@ -82,8 +89,8 @@
   out.cap = p->cap();
   if (p->engines())
     for (const auto* e : *p->engines())
-      out.engines.push_back({e->address() ? e->address()->str() : "", e->incarnation() ? e->incarnation()->str() : "",
-                             e->taken_per_s()});
+      out.engines.push_back({e->address() ? e->address()->str() : "",
+                             e->incarnation() ? e->incarnation()->str() : "", e->taken_per_s()});
   if (p->runs())
     for (const auto* r : *p->runs()) {
       RunMemory run;
@@ -136,10 +143,12 @@
     return wrong("it is no state of a front");
   if (const auto version = get<std::uint32_t>(in, 8); version > format) {
     out.newer = true;
-    return wrong("it is of format " + std::to_string(version) + ", this program reads up to " + std::to_string(format));
+    return wrong("it is of format " + std::to_string(version) + ", this program reads up to " +
+                 std::to_string(format));
   }
   const std::string_view body = in.substr(0, in.size() - 8);
-  if (get<std::uint64_t>(in, body.size()) != sum(body)) return wrong("its checksum differs: it was damaged or cut off");
+  if (get<std::uint64_t>(in, body.size()) != sum(body))
+    return wrong("its checksum differs: it was damaged or cut off");
   const auto sections = get<std::uint32_t>(in, 12);
   if (sections > most_sections) return wrong("it has " + std::to_string(sections) + " sections");
   State s;
--- a/src/keep/state.hpp
+++ b/src/keep/state.hpp
@@ -6,8 +6,8 @@
 #include <string_view>
 #include <vector>
 
-// What a front keeps through a restart, and its form on disk: sections of FlatBuffers, each with its length and
-// checksum (XXH3-64). Free of I/O and clocks. docs/state.md says what is kept and what must not be.
+// What a front keeps through a restart, and its form on disk: sections of FlatBuffers, each with its length
+// and checksum (XXH3-64). Free of I/O and clocks. docs/state.md says what is kept and what must not be.
 namespace calicograde::keep {
 
 // An idempotency key under which something may have run.
@@ -36,7 +36,7 @@
   std::string name;
   std::vector<EngineMemory> engines;
   std::vector<RunMemory> runs;
-  double cap = 0;  // what was found that may be in work; 0 = nothing
+  double cap = 0;                                     // what was found that may be in work; 0 = nothing
   std::vector<std::string> held_engines, held_halls;  // by hand
 };
 struct State {
--- a/src/keep/store.cpp
+++ b/src/keep/store.cpp
@@ -12,7 +12,8 @@
 
 // The number in a name such as state-00000012.snap; 0 for any other name.
 std::uint64_t number_of(const std::string& name, std::string_view before, std::string_view after) {
-  if (!name.starts_with(before) || !name.ends_with(after) || name.size() <= before.size() + after.size()) return 0;
+  if (!name.starts_with(before) || !name.ends_with(after) || name.size() <= before.size() + after.size())
+    return 0;
   std::uint64_t n = 0;
   const char* end = name.data() + name.size() - after.size();
   const auto r = std::from_chars(name.data() + before.size(), end, n);
@@ -42,8 +43,10 @@
   std::vector<std::uint64_t> snaps, logs;
   std::uint64_t highest = 0;
   for (const auto& name : disk_.list()) {
-    if (const auto n = number_of(name, "state-", ".snap"); n > 0) snaps.push_back(n), highest = std::max(highest, n);
-    if (const auto n = number_of(name, "marks-", ".log"); n > 0) logs.push_back(n), highest = std::max(highest, n);
+    if (const auto n = number_of(name, "state-", ".snap"); n > 0)
+      snaps.push_back(n), highest = std::max(highest, n);
+    if (const auto n = number_of(name, "marks-", ".log"); n > 0)
+      logs.push_back(n), highest = std::max(highest, n);
     // Set aside earlier; its number is not given again.
     if (const auto n = number_of(name, "state-", ".snap.damaged"); n > 0) highest = std::max(highest, n);
   }
@@ -61,7 +64,8 @@
       out.state = std::move(*read.state), out.any = true, base = n;
       break;
     }
-    out.notes.push_back(snap_name(n) + ": " + read.wrong + (read.newer ? "; it is left as it is" : "; set aside"));
+    out.notes.push_back(snap_name(n) + ": " + read.wrong +
+                        (read.newer ? "; it is left as it is" : "; set aside"));
     if (read.newer) spared_.insert(snap_name(n));
     else disk_.rename(snap_name(n), snap_name(n) + ".damaged");
   }
@@ -97,7 +101,8 @@
   // What was in work at the end may have run; an earlier try that may have is the older one.
   for (const auto& [key, k] : marks)
     if (k.ran || k.in_work || k.unsure)
-      out.state.marks.push_back({key.first, key.second, k.ran ? *k.ran : k.in_work.value_or(0), true, k.unsure, true});
+      out.state.marks.push_back(
+          {key.first, key.second, k.ran ? *k.ran : k.in_work.value_or(0), true, k.unsure, true});
   out.state.front = front;
   wrong_ = begin_log(highest + 1);
   return out;
@@ -112,7 +117,8 @@
 std::string Store::snapshot(std::uint64_t number, State state) {
   state.generation = number;
   const std::string bytes = encode(state);
-  if (bytes.size() > most_bytes) return "the state has grown to " + std::to_string(bytes.size()) + " bytes: not kept";
+  if (bytes.size() > most_bytes)
+    return "the state has grown to " + std::to_string(bytes.size()) + " bytes: not kept";
   std::string wrong = disk_.create(fresh);
   // In pieces, so that a full disk is noticed before all of it is handed over.
   for (std::size_t at = 0; wrong.empty() && at < bytes.size(); at += 1 << 20)
@@ -125,7 +131,8 @@
   for (const auto& name : disk_.list()) {
     const auto snap = number_of(name, "state-", ".snap"), log = number_of(name, "marks-", ".log");
     const std::uint64_t least = snap_before_ > 0 ? snap_before_ : last_snap_;
-    if (!spared_.contains(name) && ((snap > 0 && snap < least) || (log > 0 && log < least))) disk_.remove(name);
+    if (!spared_.contains(name) && ((snap > 0 && snap < least) || (log > 0 && log < least)))
+      disk_.remove(name);
   }
   return {};
 }
--- a/src/lab/keep_kill.cpp
+++ b/src/lab/keep_kill.cpp
@@ -54,7 +54,8 @@
     ::waitpid(pid, nullptr, 0);
     std::string heard;
     char piece[4096];
-    for (ssize_t n = 0; (n = ::read(pipe[0], piece, sizeof piece)) > 0;) heard.append(piece, static_cast<std::size_t>(n));
+    for (ssize_t n = 0; (n = ::read(pipe[0], piece, sizeof piece)) > 0;)
+      heard.append(piece, static_cast<std::size_t>(n));
     ::close(pipe[0]);
     for (std::size_t at = 0, end = 0; (end = heard.find('\n', at)) != std::string::npos; at = end + 1)
       acknowledged.insert(heard.substr(at, end - at));
@@ -68,8 +69,10 @@
     for (const auto& key : acknowledged) lost += !there.contains(key);
   }
   std::printf(
-      "| figure | value |\n| --- | --- |\n| killed at random moments | %d times |\n| marks acknowledged | %zu |\n| marks "
-      "lost | %zu |\n| starts without a snapshot (killed before the first) | %zu |\n| torn ends of logs cut | %zu |\n| "
+      "| figure | value |\n| --- | --- |\n| killed at random moments | %d times |\n| marks acknowledged | "
+      "%zu |\n| marks "
+      "lost | %zu |\n| starts without a snapshot (killed before the first) | %zu |\n| torn ends of logs cut "
+      "| %zu |\n| "
       "files set aside | %zu |\n",
       times, acknowledged.size(), lost, none, torn, set_aside);
   return lost > 0 || set_aside > 0 ? 1 : 0;
--- a/src/prefix/index.hpp
+++ b/src/prefix/index.hpp
@@ -6,7 +6,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -93,9 +92,9 @@
   void unheard(const EngineId& engine);
   bool tells(const EngineId& engine) const;
 
-  // For what is kept through a restart: runs from the `from`-th on, at the most so many; where to go on, or none
-  // at the end. What changes in between may be missed, never made up. Engines that tell by themselves are left
-  // out: they tell anew.
+  // For what is kept through a restart: runs from the `from`-th on, at the most so many; where to go on, or
+  // none at the end. What changes in between may be missed, never made up. Engines that tell by themselves
+  // are left out: they tell anew.
   struct KeptRun {
     BlockName after = 0;  // the block before the first
     std::uint32_t depth = 0;
--- a/src/tool/state_commands.cpp
+++ b/src/tool/state_commands.cpp
@@ -35,8 +35,9 @@
   }
   auto decoded = keep::decode(*bytes);
   if (!decoded.state) {
-    std::fprintf(stderr, "%s: %s; %s\n", file.c_str(), decoded.wrong.c_str(),
-                 decoded.newer ? "read it with a later calicograde" : "the front starts from the one before it");
+    std::fprintf(
+        stderr, "%s: %s; %s\n", file.c_str(), decoded.wrong.c_str(),
+        decoded.newer ? "read it with a later calicograde" : "the front starts from the one before it");
     return std::nullopt;
   }
   out.state = std::move(decoded.state);
@@ -72,7 +73,8 @@
     std::printf("pool %s: %zu runs, %zu blocks, cap %.0f\n", p.name.c_str(), p.runs.size(), blocks, p.cap);
     for (std::size_t k = 0; k < p.engines.size(); ++k)
       std::printf("  engine %s, process %s: keeps %zu blocks, takes in %.0f tokens a second\n",
-                  p.engines[k].address.c_str(), p.engines[k].incarnation.c_str(), of[k], p.engines[k].taken_per_s);
+                  p.engines[k].address.c_str(), p.engines[k].incarnation.c_str(), of[k],
+                  p.engines[k].taken_per_s);
     for (const auto& h : p.held_engines) std::printf("  engine %s is held out by hand\n", h.c_str());
     for (const auto& h : p.held_halls) std::printf("  hall %s is held out by hand\n", h.c_str());
   }
@@ -85,8 +87,8 @@
     const auto r = read(file);
     if (!r) worst = 2;
     else if (r->whole < r->size)
-      std::printf("%s: %zu marks whole, then torn after %zu of %zu bytes: the front cuts it there\n", file.c_str(),
-                  r->state->marks.size(), r->whole, r->size);
+      std::printf("%s: %zu marks whole, then torn after %zu of %zu bytes: the front cuts it there\n",
+                  file.c_str(), r->state->marks.size(), r->whole, r->size);
     else std::printf("%s: whole\n", file.c_str());
   }
   return worst;
@@ -106,7 +108,8 @@
   for (const auto& [key, unused] : second)
     if (!first.contains(key)) ++marks[key.first].second;
   for (const auto& [route, n] : marks)
-    say("route " + route + ": " + std::to_string(n.second) + " keys are new, " + std::to_string(n.first) + " are gone");
+    say("route " + route + ": " + std::to_string(n.second) + " keys are new, " + std::to_string(n.first) +
+        " are gone");
   const auto pool_of = [](const keep::State& s, const std::string& name) -> const keep::PoolMemory* {
     for (const auto& p : s.pools)
       if (p.name == name) return &p;
@@ -121,12 +124,14 @@
       continue;
     }
     if (was->runs.size() != p.runs.size())
-      say("pool " + p.name + ": " + std::to_string(was->runs.size()) + " runs are now " + std::to_string(p.runs.size()));
+      say("pool " + p.name + ": " + std::to_string(was->runs.size()) + " runs are now " +
+          std::to_string(p.runs.size()));
     for (const auto& e : p.engines) {
       const auto old = std::find_if(was->engines.begin(), was->engines.end(),
                                     [&](const auto& o) { return o.address == e.address; });
       if (old == was->engines.end()) say("pool " + p.name + ": engine " + e.address + " is new");
-      else if (old->incarnation != e.incarnation) say("pool " + p.name + ": engine " + e.address + " is another process");
+      else if (old->incarnation != e.incarnation)
+        say("pool " + p.name + ": engine " + e.address + " is another process");
     }
     if (was->held_engines != p.held_engines || was->held_halls != p.held_halls)
       say("pool " + p.name + ": what is held out by hand differs");
--- a/tests/program/admin_test.cpp
+++ b/tests/program/admin_test.cpp
@@ -288,7 +288,8 @@
 TEST(Keeping, WhatWasLearntStandsThroughARestart) {
   auto plan = lab::small_plan();
   for (auto& e : plan.engines) e.emulated = true;
-  plan.routes.push_back({"pay", Effect::Deduped, DedupeGroup::Zone, Span::millis(3000), Span::millis(12000), Span::millis(60000), 2});
+  plan.routes.push_back({"pay", Effect::Deduped, DedupeGroup::Zone, Span::millis(3000), Span::millis(12000),
+                         Span::millis(60000), 2});
   Town town(2, plan);
   auto& f = *town.all[0];
   f.end();
@@ -311,7 +312,9 @@
   pay.route = "pay", pay.key = "order-1";
   EXPECT_EQ(lab::call(pay, town.records).how, "completed");
   const std::string held = town.engines[3]->address();
-  ASSERT_EQ(fleet::ask(f.target, "POST", "/admin/v1/hold-out", {{"engine", held}, {"out", true}}, clock_now() + each).result,
+  ASSERT_EQ(fleet::ask(f.target, "POST", "/admin/v1/hold-out", {{"engine", held}, {"out", true}},
+                       clock_now() + each)
+                .result,
             Result::Done);
   // Until a snapshot holds all of it.
   EXPECT_TRUE(until([&] {
@@ -321,16 +324,19 @@
       if (!name.ends_with(".snap")) continue;
       const auto bytes = disk.read(name, wrong);
       const auto state = bytes ? keep::decode(*bytes).state : std::nullopt;
-      if (state && state->pools[0].runs.size() >= 8 && !state->pools[0].held_engines.empty() && !state->marks.empty())
+      if (state && state->pools[0].runs.size() >= 8 && !state->pools[0].held_engines.empty() &&
+          !state->marks.empty())
         return true;
     }
     return false;
   }));
   f.end();
   f.start();
-  for (int k = 0; k < 8; ++k) EXPECT_EQ(ask(k, "again-" + std::to_string(k)), readers[static_cast<std::size_t>(k)]) << k;
+  for (int k = 0; k < 8; ++k)
+    EXPECT_EQ(ask(k, "again-" + std::to_string(k)), readers[static_cast<std::size_t>(k)]) << k;
   pay.mark = "pay-2", pay.front = f.server->addresses()[0];
-  EXPECT_EQ(lab::call(pay, town.records).how, "refused");  // 409: it may have run where a repeat can't be bound to
+  EXPECT_EQ(lab::call(pay, town.records).how,
+            "refused");  // 409: it may have run where a repeat can't be bound to
   const auto list = fleet::ask(f.target, "GET", "/admin/v1/engines", {}, clock_now() + each);
   for (const auto& e : list.body["engines"]) EXPECT_EQ(e["judged"] == "held out", e["address"] == held);
   // A second process on the folder, and a folder that is not there: a plain line, and a front that serves.
--- a/tests/program/keep_test.cpp
+++ b/tests/program/keep_test.cpp
@@ -20,7 +20,8 @@
 State sample(int n) {
   State s;
   s.front = "front-1", s.wall_ms = 1000000 + n;
-  for (int k = 0; k < 3; ++k) s.marks.push_back({"pay", "k" + std::to_string(n * 10 + k), 5000 + k, true, k == 1, true});
+  for (int k = 0; k < 3; ++k)
+    s.marks.push_back({"pay", "k" + std::to_string(n * 10 + k), 5000 + k, true, k == 1, true});
   PoolMemory p;
   p.name = "main", p.cap = 42;
   p.engines = {{"10.0.0.1:80", "7", 1000}, {"10.0.0.2:80", "", 0}};
@@ -131,8 +132,8 @@
   }
   std::size_t pending() const { return changes_.size(); }
 
-  // The disk after a power failure: `which` of the folder's changes came through, and how much of what was not
-  // synced of each file.
+  // The disk after a power failure: `which` of the folder's changes came through, and how much of what was
+  // not synced of each file.
   FakeDisk after_crash(std::size_t which, int tail) const {
     FakeDisk out;
     std::map<std::string, Ref> names = durable_;
@@ -146,7 +147,8 @@
       const std::size_t more = f->bytes.size() - f->synced;
       copy->bytes = f->bytes.substr(0, f->synced + (tail == 0 ? 0 : tail == 1 ? more / 2 : more));
       // Or its length came through, and its bytes did not.
-      if (tail == 3) std::fill(copy->bytes.begin() + static_cast<std::ptrdiff_t>(f->synced), copy->bytes.end(), '\0');
+      if (tail == 3)
+        std::fill(copy->bytes.begin() + static_cast<std::ptrdiff_t>(f->synced), copy->bytes.end(), '\0');
       copy->synced = copy->bytes.size();
       out.now_[n] = copy;
     }
@@ -202,7 +204,8 @@
         Store again(found);
         const auto loaded = again.load("front-1");
         EXPECT_EQ(again.begun(), "");
-        for (const auto& key : acknowledged) EXPECT_TRUE(holds(loaded.state, key)) << fail << " " << which << " " << key;
+        for (const auto& key : acknowledged)
+          EXPECT_TRUE(holds(loaded.state, key)) << fail << " " << which << " " << key;
         const auto wall = static_cast<std::uint64_t>(loaded.state.wall_ms);
         EXPECT_TRUE(last_kept == 0 || wall >= last_kept) << fail;
         EXPECT_LE(wall, std::max(last_asked, last_kept));
@@ -290,8 +293,8 @@
 
 TEST(KeepAgeing, ClocksThatWereSetAndDaysAwayAreNotBelieved) {
   EXPECT_EQ(away(1000000, 1005000, {}), Span::millis(5000));
-  EXPECT_FALSE(away(1000000, 999999, {}));                       // back
-  EXPECT_FALSE(away(1000000, 1000000 + 2 * 3600 * 1000, {}));    // too long
+  EXPECT_FALSE(away(1000000, 999999, {}));                     // back
+  EXPECT_FALSE(away(1000000, 1000000 + 2 * 3600 * 1000, {}));  // too long
   EXPECT_FALSE(away(0, 1000000, {}));
   const Instant now = at(5000);
   EXPECT_EQ(age({"r", "k", 900000, true, false, true}, 1000000, now).first, now - Span::millis(100000));
@@ -320,7 +323,8 @@
     for (std::size_t k = 0; k < n; ++k) c.push_back(k < 5 ? opening * 1000 + k + 1 : rest * 100000 + k + 1);
     return c;
   };
-  for (std::uint64_t k = 1; k <= 20; ++k) a.read(k % 2 ? one : two, chain(k % 3 + 1, k, 12), 1200, std::nullopt, 0);
+  for (std::uint64_t k = 1; k <= 20; ++k)
+    a.read(k % 2 ? one : two, chain(k % 3 + 1, k, 12), 1200, std::nullopt, 0);
   std::vector<prefix::Index::KeptRun> runs;
   for (std::optional<std::size_t> from = 0; from;) from = a.copy(*from, 3, runs);
   std::stable_sort(runs.begin(), runs.end(), [](const auto& x, const auto& y) { return x.depth < y.depth; });
@@ -333,7 +337,8 @@
   for (std::uint64_t k = 1; k <= 20; ++k)
     for (const auto& kept : a.look_up(chain(k % 3 + 1, k, 12))) {
       const auto now = b.look_up(chain(k % 3 + 1, k, 12));
-      const auto it = std::find_if(now.begin(), now.end(), [&](const auto& x) { return x.engine == kept.engine; });
+      const auto it =
+          std::find_if(now.begin(), now.end(), [&](const auto& x) { return x.engine == kept.engine; });
       if (kept.engine == two) {
         EXPECT_EQ(it, now.end());
         continue;
@@ -356,10 +361,12 @@
   for (const auto& k : before.all()) after.restore(k);
   EXPECT_EQ(after.size(), 2u);
   EXPECT_EQ(after.ask(at(1000), "pay", "ran", DedupeGroup::All, Span::millis(60000)), KeyBook::Says::Take);
-  EXPECT_EQ(after.ask(at(1000), "pay", "in-work", DedupeGroup::Zone, Span::millis(60000)), KeyBook::Says::Unsure);
+  EXPECT_EQ(after.ask(at(1000), "pay", "in-work", DedupeGroup::Zone, Span::millis(60000)),
+            KeyBook::Says::Unsure);
   KeyBook late(100);
   for (const auto& k : before.all()) late.restore(k);
-  EXPECT_EQ(late.ask(at(61000), "pay", "in-work", DedupeGroup::All, Span::millis(60000)), KeyBook::Says::Expired);
+  EXPECT_EQ(late.ask(at(61000), "pay", "in-work", DedupeGroup::All, Span::millis(60000)),
+            KeyBook::Says::Expired);
 }
 
 }  // namespace
