HAProxy importer, first form: every line's fate by file and line, routes with conditions

Not in it yet: rate limits, maxqueue, includes, config format, sample files with hand-written readings.

On sockets: 16 messages reach the pools that the file says, and a server with maxconn 3 never sees a fourth.

--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -94,6 +94,7 @@
   std::uint16_t rack = 0;
   double size = 1;
   Lifecycle lifecycle = Lifecycle::Ready;
+  std::uint32_t most = 0;  // sends of this front out at it, at the most; 0 = no such bound
 };
 
 struct Arrived {
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -912,6 +912,20 @@
     p.heard = true;
   }
 
+  // Those that the settings name, in place of a roster.
+  void list_engines(std::size_t index) {
+    roster::Document d;
+    d.version = 1;
+    for (const auto& e : pools[index]->settings.engines) {
+      roster::Line line;
+      line.address = e.address, line.kind = e.kind, line.zone = e.zone, line.size = e.size,
+      line.most = e.most;
+      line.lifecycle = e.draining ? Lifecycle::Draining : Lifecycle::Ready;
+      d.lines.push_back(std::move(line));
+    }
+    hear(index, roster::text_of(d));
+  }
+
   // A thread for each engine that sends cache events, while it is listed.
   void follow_caches(PoolParts& p, const FleetListed& list) {
     for (const auto& e : list.entries) {
@@ -1078,7 +1092,9 @@
   for (std::size_t k = 0; k < inside_->pools.size(); ++k) inside_->resync[k] = false;
   for (std::size_t k = 0; k < inside_->pools.size(); ++k)
     inside_->threads.emplace_back([this, k] {
-      inside_->pools[k]->settings.roster_server ? inside_->follow_server(k) : inside_->follow_file(k);
+      const auto& pool = inside_->pools[k]->settings;
+      if (!pool.engines.empty()) inside_->list_engines(k);
+      else pool.roster_server ? inside_->follow_server(k) : inside_->follow_file(k);
     });
   inside_->threads.emplace_back([this] { inside_->own(); });
   if (inside_->keeping) inside_->keeping->start([this](keep::State& out) { return inside_->collect(out); });
--- a/src/front/keys.cpp
+++ b/src/front/keys.cpp
@@ -44,7 +44,8 @@
 
 std::vector<KeyBook::Kept> KeyBook::all() const {
   std::vector<Kept> out;
-  for (const auto& [name, e] : book_) out.push_back({name.first, name.second, e.first, e.unsure, e.ran || !e.in_work});
+  for (const auto& [name, e] : book_)
+    out.push_back({name.first, name.second, e.first, e.unsure, e.ran || !e.in_work});
   return out;
 }
 
--- a/src/front/messages_front.cpp
+++ b/src/front/messages_front.cpp
@@ -157,7 +157,7 @@
     auto parsed = messages::parse_call(request.body, counting);
     if (const auto* e = std::get_if<ApiError>(&parsed)) return answer(*e, visit, Span{}, true);
     auto& call = std::get<messages::Call>(parsed);
-    const auto route = route_of(call.model);
+    const auto route = route_of(call.model, request, visit);
     if (!route) return answer(messages::not_found("model: " + call.model), visit, Span{}, true);
     if (counting)
       return visit.connection.respond(
@@ -180,10 +180,21 @@
     return e;
   }
 
-  std::optional<std::size_t> route_of(const std::string& model) const {
+  // The first that fits the model, and whose conditions hold.
+  std::optional<std::size_t> route_of(const std::string& model, const http::Request& request,
+                                      const Visit& visit) const {
     const auto& routes = core_.settings().routes;
-    for (std::size_t k = 0; k < routes.size(); ++k)
-      if (fits(routes[k].model, model)) return k;
+    const net::Stream& stream = visit.connection.stream();
+    std::string source;
+    for (std::size_t k = 0; k < routes.size(); ++k) {
+      if (!fits(routes[k].model, model)) continue;
+      if (routes[k].when.empty()) return k;
+      if (source.empty()) source = stream.peer();
+      const std::string_view path = std::string_view(request.target).substr(0, request.target.find('?'));
+      if (matching::all_hold(routes[k].when,
+                             {request.method, path, source, &request.headers, stream.local_port()}))
+        return k;
+    }
     return std::nullopt;
   }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -169,6 +169,25 @@
   return {ConnectEnd::Connected, Stream(std::move(fd))};
 }
 
+std::string Stream::peer() const {
+  Where w;
+  socklen_t size = sizeof w;
+  char text[INET6_ADDRSTRLEN] = "";
+  if (::getpeername(fd_.get(), &w.any, &size) != 0) return {};
+  if (w.any.sa_family == AF_INET) inet_ntop(AF_INET, &w.v4.sin_addr, text, sizeof text);
+  else if (w.any.sa_family == AF_INET6) inet_ntop(AF_INET6, &w.v6.sin6_addr, text, sizeof text);
+  return text;
+}
+
+unsigned short Stream::local_port() const {
+  Where w;
+  socklen_t size = sizeof w;
+  if (::getsockname(fd_.get(), &w.any, &size) != 0) return 0;
+  return w.any.sa_family == AF_INET    ? ntohs(w.v4.sin_port)
+         : w.any.sa_family == AF_INET6 ? ntohs(w.v6.sin6_port)
+                                       : static_cast<unsigned short>(0);
+}
+
 void Stream::reset_hard() {
   if (!fd_) return;
   const linger now{1, 0};
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -66,6 +66,8 @@
   void watch(int peer, int wake = -1) { watched_ = peer, wake_ = wake; }
   int fd() const { return fd_.get(); }
   bool open() const { return static_cast<bool>(fd_); }
+  std::string peer() const;           // the other side's IP address; empty of a unix socket
+  unsigned short local_port() const;  // 0 of a unix socket
   void close() { fd_.reset(); }
   // Ends it at once with a reset, so that the other side learns of it without an orderly end.
   void reset_hard();
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -91,6 +91,7 @@
       if (it == lifecycles.end())
         throw Wrong{where + ": state '" + state + "' is none of ready, draining, gone"};
       line.lifecycle = it->second;
+      line.most = static_cast<std::uint32_t>(std::min(number(e, "most", where, 0), 1e6));
       d.lines.push_back(std::move(line));
     }
     if (const auto fronts = j.find("fronts"); fronts != j.end()) {
@@ -115,6 +116,7 @@
   for (const auto& l : d.lines) {
     Json e{{"address", l.address},         {"kind", l.kind}, {"zone", l.zone}, {"rack", l.rack},
            {"incarnation", l.incarnation}, {"size", l.size}};
+    if (l.most > 0) e["most"] = l.most;
     if (l.age) e["age_ms"] = l.age->as_millis();
     for (const auto& [name, value] : lifecycles)
       if (value == l.lifecycle) e["state"] = name;
@@ -165,7 +167,7 @@
   e.rack =
       racks_.emplace(line.zone + "/" + line.rack, static_cast<std::uint16_t>(racks_.size())).first->second;
   e.size = line.size;
-  e.lifecycle = line.lifecycle;
+  e.lifecycle = line.lifecycle, e.most = line.most;
   return e;
 }
 
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -22,6 +22,7 @@
   std::optional<Span> age;  // since that start; none = long
   double size = 1;
   Lifecycle lifecycle = Lifecycle::Ready;
+  std::uint32_t most = 0;  // sends of one front out at it; 0 = no bound
 };
 struct Document {
   std::uint64_t version = 0;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -586,6 +586,7 @@
 
   bool usable(const Inference& f, const EngineId& id, const Engine& e, bool any) const {
     if (e.lifecycle != Lifecycle::Ready || !effect_allows(f, e) || !may_push(e)) return false;
+    if (e.entry.most > 0 && e.out >= static_cast<int>(e.entry.most)) return false;
     return any || (!f.failed_at.contains(id) && (!e.doubted || now_ >= e.next_trial));
   }
 
--- a/src/settings/diff.cpp
+++ b/src/settings/diff.cpp
@@ -9,7 +9,7 @@
 
 // What tells an element from its like; a place number where nothing does.
 std::string key_of(const Element& e) {
-  for (const char* name : {"name", "address", "allow", "zones"})
+  for (const char* name : {"name", "address", "allow", "zones", "what"})
     if (const auto* v = e.attribute(name)) return *v;
   return {};
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -178,6 +178,9 @@
       if (server && !out.roster_server) fault(*r, "'" + *server + "' is no address", "write HOST:PORT");
       if (out.roster_every < Span::millis(10)) fault(*r, "every is under 10ms", "give 10ms or more");
     }
+    if (const auto* list = e.child("engines")) engines(*list, out, front);
+    else if (!e.child("roster"))
+      fault(e, "pool '" + out.name + "' has neither roster nor engines", "add one of the two");
     if (const auto* i = e.child("index")) {
       out.index_block = i->size("block", out.index_block);
       out.index_blocks = count(*i, "blocks", out.index_blocks, 1e8);
@@ -300,6 +303,55 @@
     return out;
   }
 
+  void engines(const Element& e, Pool& out, const Front& front) {
+    if (out.roster_server || !out.roster_file.empty())
+      fault(e, "pool '" + out.name + "' has a roster and engines", "drop one of the two");
+    for (const auto* x : e.all("engine")) {
+      StaticEngine s{x->text("address"),
+                     x->text("kind"),
+                     x->text("zone", front.zones.front()),
+                     x->number("size", 1),
+                     static_cast<std::uint32_t>(count(*x, "most", 0, 1e6)),
+                     x->text("state") == "draining"};
+      if (!net::parse_address(s.address)) fault(*x, "'" + s.address + "' is no address", "write HOST:PORT");
+      if (std::none_of(out.kinds.begin(), out.kinds.end(),
+                       [&](const KindOffers& k) { return k.name == s.kind; }))
+        fault(*x, "no kind '" + s.kind + "' in pool '" + out.name + "'", "name one of its kinds");
+      if (index(front.zones, s.zone) < 0) fault(*x, "unknown zone '" + s.zone + "'", "name it under <zones>");
+      for (const auto& other : out.engines)
+        if (other.address == s.address) fault(*x, "engine " + s.address + " stands twice", "remove one");
+      out.engines.push_back(std::move(s));
+    }
+  }
+
+  std::vector<matching::When> conditions(const Element& e) {
+    using W = matching::When::What;
+    static const std::map<std::string, W> words = {{"path", W::Path},          {"path-begins", W::PathBegins},
+                                                   {"path-ends", W::PathEnds}, {"header", W::Header},
+                                                   {"method", W::Method},      {"source", W::Source},
+                                                   {"port", W::Port}};
+    std::vector<matching::When> out;
+    for (const auto* x : e.all("when")) {
+      matching::When w;
+      w.what = words.at(x->text("what")), w.name = x->text("name");
+      w.no = x->flag("not", false), w.ignore_case = x->flag("ignore-case", false);
+      std::string value;
+      for (const char c : x->text("values") + "|") {
+        if (c != '|') value += c;
+        else if (!value.empty()) w.values.push_back(std::exchange(value, {}));
+      }
+      if (w.what == W::Header && w.name.empty()) fault(*x, "a header without its name", "add name");
+      if (w.what != W::Header && w.values.empty())
+        fault(*x, "nothing to look for", "give values, with | between them");
+      if (w.what == W::Source)
+        for (const auto& v : w.values)
+          if (!matching::is_network(v))
+            fault(*x, "'" + v + "' is no address or IPv4 network", "write 10.0.0.0/8");
+      out.push_back(std::move(w));
+    }
+    return out;
+  }
+
   void route(const Element& e, Front& out) {
     Route r;
     r.name = e.text("name"), r.model = e.text("model"), r.engine_model = e.text("engine-model");
@@ -333,10 +385,13 @@
             "nothing could be late but in time: raise route-timeout");
     if (!is_pattern(r.model))
       fault(e, "model '" + r.model + "' is no pattern", "write a name, or a prefix that ends in *");
+    r.when = conditions(e);
     for (const auto& other : out.routes) {
       if (other.name == r.name)
         fault(e, "route '" + r.name + "' stands already in line " + std::to_string(other.line),
               "give it another name");
+      // Who has conditions may leave something for those below.
+      if (!other.when.empty()) continue;
       if (other.model == r.model)
         fault(e,
               "route '" + r.name + "' matches the same model '" + r.model + "' as route '" + other.name +
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -9,6 +9,7 @@
 #include "http/http.hpp"
 #include "limits/caps.hpp"
 #include "limits/spill.hpp"
+#include "matching/when.hpp"
 #include "net/socket.hpp"
 #include "rounds/rounds.hpp"
 #include "settings/xml.hpp"
@@ -22,12 +23,21 @@
   bool release = false, places = false, reports = false, cache_events = false;
 };
 
+// An engine named in the settings themselves, where there is no roster.
+struct StaticEngine {
+  std::string address, kind, zone;
+  double size = 1;
+  std::uint32_t most = 0;
+  bool draining = false;
+};
+
 struct Pool {
   std::string name;
   Settings routing;  // what the module of this pool is started with
   std::vector<KindOffers> kinds;
   std::optional<net::Address> roster_server;
   std::string roster_file;
+  std::vector<StaticEngine> engines;
   Span roster_every = Span::millis(500);
   Span connect = Span::millis(250);
   // What a lost hall is; and the index of prompts: bytes of a block, blocks kept in all (0 = no index),
@@ -46,8 +56,9 @@
   std::uint16_t number = 0;               // among the pool's routes
   Span timeout, timeout_per_1000_tokens;
   Effect effect = Effect::Retriable;
-  double max_tokens = 0;  // 0 = as the client says
-  rounds::Rules relay;    // of tools that the front calls itself in the midst of a message
+  double max_tokens = 0;             // 0 = as the client says
+  std::vector<matching::When> when;  // all must hold, beside the model
+  rounds::Rules relay;               // of tools that the front calls itself in the midst of a message
   int line = 0;
 };
 
--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -5,6 +5,7 @@
 #include "settings/diff.hpp"
 #include "settings/settings.hpp"
 #include "tool/fleet_commands.hpp"
+#include "tool/import_commands.hpp"
 #include "tool/pages.hpp"
 #include "tool/state_commands.hpp"
 #include "version.hpp"
@@ -54,6 +55,7 @@
   std::function<int()> chosen;
   tool::add_fleet(app, chosen);
   tool::add_state(app, chosen);
+  tool::add_import(app, chosen);
   auto* man = app.add_subcommand("man", "print the manual page");
   auto* completion = app.add_subcommand("completion", "print completion for bash");
   auto* config = app.add_subcommand("config", "compare settings");
--- a/tests/program/admin_test.cpp
+++ b/tests/program/admin_test.cpp
@@ -11,6 +11,7 @@
 #include "fleet/run.hpp"
 #include "front/admin_front.hpp"
 #include "front/messages_front.hpp"
+#include "haproxy/import.hpp"
 #include "keep/store.hpp"
 #include "lab/client.hpp"
 #include "lab/engine_standin.hpp"
@@ -349,6 +350,59 @@
   EXPECT_EQ(lab::call(c, town.records).how, "completed");
 }
 
+// Settings made from HAProxy's format, before stand-ins: each message reaches the pool that the file says,
+// and a server with maxconn 3 never sees a fourth.
+TEST(Imported, MessagesReachThePoolsOfTheFileAndMaxconnHolds) {
+  lab::Recorder records;
+  std::vector<std::unique_ptr<lab::EngineStandin>> engines;
+  for (int k = 0; k < 3; ++k) {
+    lab::EngineOptions o;
+    o.kind = "both", o.stage = Stage::Both, o.slots = 64, o.token = Span::millis(30);
+    engines.push_back(std::make_unique<lab::EngineStandin>(o, records, nullptr));
+  }
+  const std::string text =
+      "defaults\n timeout connect 200\n timeout server 12s\n retry-on all-retryable-errors\nfrontend in\n "
+      "bind 127.0.0.1:0\n"
+      " acl red hdr(x-budget-ms) 9001\n use_backend one if red\n default_backend two\nbackend one\n server "
+      "a " +
+      engines[0]->address() + " maxconn 3\nbackend two\n server b " + engines[1]->address() + "\n server c " +
+      engines[2]->address() + "\n";
+  const auto made = haproxy::import(haproxy::read({{"x.cfg", text}}, {}), {});
+  std::vector<settings::Fault> faults;
+  auto s = settings::load("x.xml", made.settings, faults);
+  ASSERT_TRUE(s) << made.settings;
+  s->stack = 256 << 10;
+  log::Log log{"/dev/null", log::Level::Info};
+  Core core(*s, log);
+  std::vector<std::unique_ptr<Protocol>> protocols;
+  protocols.push_back(messages_front(core));
+  Server server(core, std::move(protocols));
+  core.start();
+  ASSERT_TRUE(core.wait_for_rosters(clock_now() + Span::millis(5000)));
+  server.start();
+  std::vector<std::thread> clients;
+  std::atomic<int> completed = 0;
+  for (int k = 0; k < 16; ++k)
+    clients.emplace_back([&, k] {
+      lab::ClientCall c;
+      c.front = server.addresses()[0], c.front_name = "in", c.route = "any-model", c.mark = std::to_string(k);
+      c.text = "What do my points buy?", c.max_tokens = 4, c.budget = Span::millis(k % 2 ? 9001 : 9000);
+      completed += lab::call(c, records).how == "completed";
+    });
+  for (auto& c : clients) c.join();
+  EXPECT_EQ(completed, 16);
+  std::map<std::string, int> out;
+  for (const auto& r : records.all()) {
+    if (r.what == "send") {
+      EXPECT_EQ(r.where == engines[0]->address(), std::stoi(r.mark) % 2 == 1) << r.mark;
+      ++out[r.where];
+    }
+    if (r.what == "send_end") --out[r.where];
+    EXPECT_LE(out[engines[0]->address()], 3);
+  }
+  server.stop(clock_now() + Span::millis(5000));
+}
+
 // Fronts that misbehave: each ends as what it is, and none as done.
 TEST(Fleet, SilentHalfAnsweringDyingAndRefusingFrontsAreNoSuccess) {
   enum class Does { Silent, HalfLine, Garbage, DiesAfterAsked, Refuses, OtherVersion };
