Read again: the end of a cap's mode is told; show and engines ask as all commands do

Need: the change read once more. Caps::look counted refusals from the beginning of its mode, so that 'cap no longer reached' was never logged. admin_front wrote an engine's id as text again, which routing/state.hpp has; fleet show and engines repeated what the other commands share; a parameter and an option's field had no user.

Change: refusals are counted since the last look, with a test; text_of is called from where it stands; one ask_each serves all; what nobody used is gone.

--- a/src/front/admin_front.cpp
+++ b/src/front/admin_front.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "net/clock.hpp"
+#include "routing/state.hpp"
 #include "version.hpp"
 
 namespace calicograde::front {
@@ -39,13 +40,6 @@
 const char* word(Lifecycle l) {
   return l == Lifecycle::Ready ? "ready" : l == Lifecycle::Draining ? "draining" : "gone";
 }
-std::string text_of(const EngineId& id) {
-  std::string out;
-  for (const int part : id.address) out += std::to_string(part) + '.';
-  out.back() = ':';
-  return out + std::to_string(id.port);
-}
-
 // One engine as this front judges it, and why.
 Json json_of(const Core::Judged& e) {
   const EngineView& v = e.view;
--- a/src/limits/caps.cpp
+++ b/src/limits/caps.cpp
@@ -61,14 +61,17 @@
 std::string Caps::look(Instant now) {
   if (!rules_.on) return {};
   knee_.look(now);
+  if (now - mode_at_ < mode_lasts) return {};
+  // Since the last look: counted from the mode's beginning it would never end (found on reading it again).
   const bool shedding = refused_ > refused_then_;
-  if (shedding == shedding_ || now - mode_at_ < mode_lasts) return {};
+  mode_at_ = now, refused_then_ = refused_;
+  if (shedding == shedding_) return {};
   char text[160];
   std::snprintf(text, sizeof text,
                 shedding ? "cap reached: %zu in work of %.0f, %.0f%% of first tokens late, %zu refused"
                          : "cap no longer reached: %zu in work of %.0f, %.0f%% late, %zu refused in all",
                 work_.size(), knee_.cap(), knee_.late() * 100, refused_);
-  shedding_ = shedding, mode_at_ = now, refused_then_ = refused_;
+  shedding_ = shedding;
   return text;
 }
 
--- a/src/tool/fleet_commands.cpp
+++ b/src/tool/fleet_commands.cpp
@@ -23,7 +23,7 @@
 
 struct Words {
   std::string file = "fleet.xml", at_once = "16", each = "5s", in_all = "10m", journal, by, limit = "5m";
-  std::string at_limit = "cut", hall, engine, every = "2s", level, lasts = "0s", route;
+  std::string at_limit = "cut", hall, engine, every = "2s", level, lasts = "0s";
   std::vector<std::string> who;
   std::size_t halt_after = 0;
   double hall_share = 0.5;
@@ -83,7 +83,7 @@
 // A command to all that are meant: asks, tells, sums up.
 int carry_out(const Words& w, const Meant& m, const std::string& command, fleet::Campaign& campaign,
               const std::function<Answer(const fleet::Front&, Instant)>& what, Span each,
-              const std::function<std::string(const Answer&)>& say, std::vector<Answer>* answers = nullptr) {
+              const std::function<std::string(const Answer&)>& say) {
   std::unique_ptr<fleet::Journal> journal;
   if (!w.journal.empty()) {
     std::vector<std::string> names;
@@ -131,7 +131,6 @@
     sum += (sum.empty() ? "" : ", ") + std::to_string(campaign.not_begun()) + " not begun" +
            (campaign.halted() ? " (halted)" : "");
   if (!w.json) std::printf("%s\n", sum.c_str());
-  if (answers) *answers = std::move(all);
   return fleet::exit_code(campaign);
 }
 
@@ -170,45 +169,39 @@
   return text + halls;
 }
 
-int show(const Words& w) {
-  const auto got = meant(w);
-  if (const int* code = std::get_if<int>(&got)) return *code;
-  const Meant& m = std::get<Meant>(got);
-  auto c = campaign_for(w, m, false, {});
-  return carry_out(
-      w, m, "show", c,
-      [&](const fleet::Front& f, Instant until) {
-        return fleet::ask_again(f, "GET", "/admin/v1/state", {}, until, 2);
-      },
-      m.each, state_line);
+std::string engines_line(const Answer& a) {
+  std::map<std::string, int> judged;
+  std::string odd;
+  for (const auto& e : a.body.value("engines", Json::array())) {
+    const std::string how = e.value("judged", "?");
+    ++judged[how];
+    if (how != "trusted" && how != "gone")
+      odd += "\n    " + e.value("address", "?") + "  " + how + "  " + e.value("why", "");
+  }
+  std::string out;
+  for (const auto& [how, n] : judged) out += (out.empty() ? "" : ", ") + std::to_string(n) + " " + how;
+  return out + odd;
 }
 
-int engines(const Words& w) {
+// One question to each. Reading is harmless, and what changes sets what stands afterwards: asked twice, it is
+// as asked once.
+int ask_each(const Words& w, const std::string& command, const std::string& method, const std::string& path,
+             const Json& body, const std::function<std::string(const Answer&)>& say) {
   const auto got = meant(w);
   if (const int* code = std::get_if<int>(&got)) return *code;
   const Meant& m = std::get<Meant>(got);
+  if (dry(w, m, command)) return 0;
   auto c = campaign_for(w, m, false, {});
   return carry_out(
-      w, m, "engines", c,
-      [&](const fleet::Front& f, Instant until) {
-        return fleet::ask_again(f, "GET", "/admin/v1/engines", {}, until, 2);
-      },
-      m.each,
-      [](const Answer& a) {
-        std::map<std::string, int> judged;
-        std::string odd;
-        for (const auto& e : a.body.value("engines", Json::array())) {
-          const std::string how = e.value("judged", "?");
-          ++judged[how];
-          if (how != "trusted" && how != "gone")
-            odd += "\n    " + e.value("address", "?") + "  " + how + "  " + e.value("why", "");
-        }
-        std::string out;
-        for (const auto& [how, n] : judged) out += (out.empty() ? "" : ", ") + std::to_string(n) + " " + how;
-        return out + odd;
-      });
+      w, m, command, c,
+      [&](const fleet::Front& f, Instant until) { return fleet::ask_again(f, method, path, body, until, 2); },
+      m.each, say);
 }
 
+int show(const Words& w) { return ask_each(w, "show", "GET", "/admin/v1/state", {}, state_line); }
+
+int engines(const Words& w) { return ask_each(w, "engines", "GET", "/admin/v1/engines", {}, engines_line); }
+
 std::string drain_line(const Answer& a) {
   const Json d = a.body.value("drain", Json::object());
   if (d.value("state", "") == "serving") return "serving";
@@ -258,20 +251,6 @@
       drain_line);
 }
 
-int post(const Words& w, const std::string& command, const std::string& method, const std::string& path,
-         const Json& body, const std::function<std::string(const Answer&)>& say) {
-  const auto got = meant(w);
-  if (const int* code = std::get_if<int>(&got)) return *code;
-  const Meant& m = std::get<Meant>(got);
-  if (dry(w, m, command)) return 0;
-  auto c = campaign_for(w, m, false, {});
-  // Each of these sets what stands afterwards: asked twice, it is as asked once.
-  return carry_out(
-      w, m, command, c,
-      [&](const fleet::Front& f, Instant until) { return fleet::ask_again(f, method, path, body, until, 2); },
-      m.each, say);
-}
-
 std::vector<fleet::Said> hear_all(const Words& w, const Meant& m, int& code) {
   std::vector<fleet::Said> said(m.fronts.size());
   auto c = campaign_for(w, m, false, {});
@@ -476,7 +455,7 @@
   c = f->add_subcommand("undrain", "have fronts take work again");
   who(c), changes(c);
   run(c, [](const Words& x) {
-    return post(x, "undrain", "DELETE", "/admin/v1/drain", Json{{"by", x.by}}, drain_line);
+    return ask_each(x, "undrain", "DELETE", "/admin/v1/drain", Json{{"by", x.by}}, drain_line);
   });
   c = f->add_subcommand("report", "figures of all together, and where fronts differ");
   who(c), run(c, report);
@@ -497,8 +476,8 @@
     if (x.hall.empty() == x.engine.empty()) return wrong("one of --hall and --engine is wanted");
     Json body{{"out", !x.in}};
     body[x.hall.empty() ? "engine" : "hall"] = x.hall.empty() ? x.engine : x.hall;
-    return post(x, "hold-out", "POST", "/admin/v1/hold-out", body,
-                [&x](const Answer&) { return std::string(x.in ? "let in" : "held out"); });
+    return ask_each(x, "hold-out", "POST", "/admin/v1/hold-out", body,
+                    [&x](const Answer&) { return std::string(x.in ? "let in" : "held out"); });
   });
   c = f->add_subcommand("count", "tell fronts how many they are, by hand");
   who(c), changes(c);
@@ -509,16 +488,16 @@
     const auto lasts = settings::parse_time(x.lasts);
     if (!lasts) return wrong("--for: a number and a unit is wanted");
     if (!x.take_back && x.count == 0) return wrong("one of --count and --take-back is wanted");
-    return post(x, "count", x.take_back ? "DELETE" : "POST", "/admin/v1/fronts",
-                x.take_back ? Json::object() : Json{{"count", x.count}, {"for_ms", lasts->as_millis()}},
-                [](const Answer& a) { return "acts on " + a.body.value("acting", Json()).dump(); });
+    return ask_each(x, "count", x.take_back ? "DELETE" : "POST", "/admin/v1/fronts",
+                    x.take_back ? Json::object() : Json{{"count", x.count}, {"for_ms", lasts->as_millis()}},
+                    [](const Answer& a) { return "acts on " + a.body.value("acting", Json()).dump(); });
   });
   c = f->add_subcommand("log-level", "set the log's level");
   who(c), changes(c);
   c->add_option("--level", w->level, "debug, info, warn or error")->required();
   run(c, [](const Words& x) {
-    return post(x, "log-level", "POST", "/admin/v1/log-level", Json{{"level", x.level}},
-                [](const Answer& a) { return a.body.value("level", "?"); });
+    return ask_each(x, "log-level", "POST", "/admin/v1/log-level", Json{{"level", x.level}},
+                    [](const Answer& a) { return a.body.value("level", "?"); });
   });
 }
 
--- a/tests/program/limits_test.cpp
+++ b/tests/program/limits_test.cpp
@@ -75,6 +75,19 @@
   EXPECT_EQ(taken, 100);
 }
 
+TEST(Caps, ItsModeIsToldOnceWhenItBeginsAndOnceWhenItEnds) {
+  Caps c(capped(1), {{1, 0}});
+  c.ask(at(0), 1, 0, 0);
+  int begun = 0, ended = 0;
+  for (int t = 0; t < 30000; t += 100) {
+    if (t < 10000) c.ask(at(t), static_cast<InfId>(t + 2), 0, 0);
+    const auto line = c.look(at(t));
+    begun += line.starts_with("cap reached"), ended += line.starts_with("cap no longer reached");
+  }
+  EXPECT_EQ(begun, 1);
+  EXPECT_EQ(ended, 1);
+}
+
 TEST(Caps, AFixedCapOfARouteHoldsEvenWhereNothingElseIsOn) {
   Caps c({}, {{1, 3}});
   EXPECT_EQ(c.ask(at(0), 1, 0, 0), Caps::Says::Take);
