Connections end with no reset, no request dropped at SIGTERM; SIGHUP counts in a drain

Listener::accept now gives out what the kernel had accepted before the stop. - turn_away answered 503 and closed at once: a close over unread bytes resets the connection, and the answer may go with it. Lobby::make_room, Lobby::close and the end of an idle time closed in the same way. All of them now end the sending side, read and drop what comes for a second at most, within an eighth of the connections; with descriptors used up a newcomer gets the 503 on the spare one. - Server::serve gave up a connection unread once the server was stopping, and closed one whose request had thrown without a word: both are answered now (a refusal, 500). - Node::stop read no signals: a new configuration during a drain was never followed. - A broken stream's connection was shut in both directions over unread bytes; the server ends it now. The connections' share of descriptors is divided anew: eight ninths open, one ninth being closed.

--- a/src/front/lobby.cpp
+++ b/src/front/lobby.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <stdexcept>
 #include <vector>
 
@@ -27,8 +28,8 @@
 
 }  // namespace
 
-Lobby::Lobby(std::function<void(Shared)> comes)
-    : comes_(std::move(comes)), epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+Lobby::Lobby(std::function<void(Shared)> comes, std::size_t most_leaving)
+    : comes_(std::move(comes)), most_leaving_(most_leaving), epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
   if (!epoll_ || !wake_.ok() || !watch(epoll_, wake_.fd(), wake_number))
     throw std::runtime_error("cannot watch connections: no descriptor is left");
   thread_ = std::thread([this] { run(); });
@@ -43,21 +44,32 @@
   thread_.join();
 }
 
-void Lobby::wait(Shared guest) { seat(std::move(guest), false); }
-void Lobby::leave(Shared guest) { seat(std::move(guest), true); }
+void Lobby::wait(Shared guest) { add(std::move(guest), false); }
+void Lobby::leave(Shared guest) { add(std::move(guest), true); }
 
-void Lobby::seat(Shared guest, bool leaving) {
+void Lobby::add(Shared guest, bool leaving) {
+  std::vector<Shared> gone;  // ends after the lock does
   const std::lock_guard lock(mutex_);
+  seat(std::move(guest), leaving, gone);
+}
+
+void Lobby::seat(Shared guest, bool leaving, std::vector<Shared>& gone) {
   leaving |= closed_;
   const Instant now = clock_now();
   const Instant until = leaving ? now + leave_within : guest->connection.idle_until();
-  if (leaving) guest->connection.end_answers();
+  if (leaving) guest->connection.end_answers(), guest->place.reset();
   const std::uint64_t number = ++numbers_;
   // Where it can't be watched it is closed.
-  if (!watch(epoll_, guest->connection.stream().fd(), number)) return;
+  if (!watch(epoll_, guest->connection.stream().fd(), number)) return gone.push_back(std::move(guest));
   seats_.emplace(number, Seat{std::move(guest), leaving, now, until});
+  if (leaving) leaving_.insert(number);
   const auto end = ends_.emplace(until, number).first;
   if (end == ends_.begin()) wake_.raise();
+  while (leaving_.size() > most_leaving_) {
+    Shared longest = take(seats_.find(*leaving_.begin()));
+    longest->connection.drop_some();  // at least what is here already
+    gone.push_back(std::move(longest));
+  }
 }
 
 Lobby::Shared Lobby::take(Seats::iterator at) {
@@ -65,42 +77,55 @@
   Shared guest = std::move(at->second.guest);
   ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, guest->connection.stream().fd(), &none);
   ends_.erase({at->second.until, at->first});
+  leaving_.erase(at->first);
   seats_.erase(at);
+  if (leaving_.empty()) emptied_.notify_all();
   return guest;
 }
 
 bool Lobby::make_room() {
-  Shared gone;  // ends after the lock does
+  std::vector<Shared> gone;
   const std::lock_guard lock(mutex_);
   const Instant now = clock_now();
   const auto first = [&](const auto& which) {
     const auto at =
         std::find_if(seats_.begin(), seats_.end(), [&](const auto& s) { return which(s.second); });
-    if (at != seats_.end()) gone = take(at);
-    return gone != nullptr;
+    if (at == seats_.end()) return false;
+    seat(take(at), true, gone);
+    return true;
   };
   // What has begun to come is no idle connection any more.
   const auto idle = [](const Seat& s) { return !s.leaving && !s.guest->connection.stream().stale(); };
   return first([&](const Seat& s) { return s.guest->fresh && now - s.since >= settling && idle(s); }) ||
-         first([&](const Seat& s) { return !s.guest->fresh && idle(s); }) ||
-         first([](const Seat& s) { return s.leaving; });
+         first([&](const Seat& s) { return !s.guest->fresh && idle(s); });
 }
 
 void Lobby::close() {
   std::vector<Shared> gone;
   const std::lock_guard lock(mutex_);
   closed_ = true;
-  for (auto at = seats_.begin(); at != seats_.end();) {
-    const auto next = std::next(at);
-    if (!at->second.leaving) gone.push_back(take(at));
-    at = next;
-  }
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [number, seat] : seats_)
+    if (!seat.leaving) waiting.push_back(number);
+  for (const std::uint64_t number : waiting) seat(take(seats_.find(number)), true, gone);
+}
+
+bool Lobby::wait_empty(Instant deadline) {
+  std::unique_lock lock(mutex_);
+  const Span left = std::max(Span{}, deadline - clock_now());
+  return emptied_.wait_for(lock, std::chrono::microseconds(left.as_micros()),
+                           [&] { return leaving_.empty(); });
 }
 
 void Lobby::end_overdue(std::vector<Shared>& gone) {
   const Instant now = clock_now();
-  while (!ends_.empty() && ends_.begin()->first <= now)
-    gone.push_back(take(seats_.find(ends_.begin()->second)));
+  while (!ends_.empty() && ends_.begin()->first <= now) {
+    const auto at = seats_.find(ends_.begin()->second);
+    const bool leaving = at->second.leaving;
+    // One that was idle for too long is ended as any other: a request may be on its way at this moment.
+    if (leaving) gone.push_back(take(at));
+    else seat(take(at), true, gone);
+  }
 }
 
 void Lobby::run() {
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <random>
 
 #include "net/clock.hpp"
@@ -15,6 +16,11 @@
     "content-length: 98\r\n\r\n"
     R"({"type":"error","error":{"type":"overloaded_error","message":"too many connections at this front"}})";
 
+constexpr Span accepted_after_stop = Span::millis(100);
+
+// Connections that were answered and are left to their clients to close, beside those that are open.
+std::size_t leaving_of(std::size_t connections) { return std::max<std::size_t>(4, connections / 8); }
+
 }  // namespace
 
 std::string_view Protocol::too_many() const { return overloaded; }
@@ -23,7 +29,8 @@
     : core_(core),
       listen_(core.settings().listen),
       most_(core.settings().connections),
-      protocols_(std::move(protocols)) {
+      protocols_(std::move(protocols)),
+      lobby_([this](const Lobby::Shared& guest) { begin(guest); }, leaving_of(most_)) {
   std::random_device chance;
   char stamp[16];
   std::snprintf(stamp, sizeof stamp, "%08x", chance());
@@ -37,7 +44,8 @@
       listen_{std::move(listen)},
       most_(connections),
       protocols_(std::move(protocols)),
-      stamp_("admin") {}
+      stamp_("admin"),
+      lobby_([this](const Lobby::Shared& guest) { begin(guest); }, leaving_of(most_)) {}
 
 std::size_t Server::in_work() const {
   std::size_t n = 0;
@@ -62,27 +70,35 @@
 std::vector<net::Address> Server::addresses() const { return addresses_; }
 
 void Server::accept(net::Listener& listener) {
-  while (!stopping_) {
-    auto stream = listener.accept(net::clock_now() + Span::millis(1000));
-    if (!stream || stopping_) continue;
-    auto guest = std::make_shared<Lobby::Guest>(std::move(*stream), core_.settings().http, open_);
-    if (open_ <= most_ || lobby_.make_room()) lobby_.wait(std::move(guest));
-    else turn_away(*guest);
+  const std::string_view too_many = protocols_.front()->too_many();
+  for (std::optional<Instant> last; !last || net::clock_now() < *last;) {
+    auto stream = listener.accept(net::clock_now() + Span::millis(1000), too_many);
+    if (stream) admit(std::move(*stream));
+    else if (stopping_) return;
+    // Those that had connected before the stop are still answered; newcomers must not keep it from ending.
+    if (stopping_ && !last) last = net::clock_now() + accepted_after_stop;
   }
 }
 
-// One too many: told at once, so that it can go elsewhere. Nothing was taken.
-void Server::turn_away(Lobby::Guest& guest) const {
+void Server::admit(net::Stream stream) {
+  auto guest = std::make_shared<Lobby::Guest>(std::move(stream), core_.settings().http, open_);
+  if (!stopping_ && (open_ <= most_ || lobby_.make_room())) lobby_.wait(std::move(guest));
+  else turn_away(guest);
+}
+
+// One too many: told at once, so that it can go elsewhere. Nothing was taken. What it sends meanwhile is read
+// and dropped for a while, since a close over unread bytes could take the answer with it.
+void Server::turn_away(const Lobby::Shared& guest) {
   boost::system::error_code ec;
   const std::string_view too_many = protocols_.front()->too_many();
-  auto& stream = guest.connection.stream();
+  auto& stream = guest->connection.stream();
   stream.set_deadline(net::clock_now());
   stream.write_some(boost::asio::buffer(too_many.data(), too_many.size()), ec);
-  stream.shut();
+  lobby_.leave(guest);
 }
 
 void Server::begin(const Lobby::Shared& guest) {
-  if (!threads_.submit([this, guest] { serve(guest); })) turn_away(*guest);
+  if (!threads_.submit([this, guest] { serve(guest); })) turn_away(guest);
 }
 
 Protocol* Server::protocol_for(const std::string& target) const {
@@ -95,54 +111,68 @@
 void Server::serve(const Lobby::Shared& guest) {
   auto& connection = guest->connection;
   Visit visit{connection, {}};
-  for (bool more = true; more && !stopping_;) {
+  // Also while the server stops: what has begun to come is read and answered, be it with a refusal.
+  for (bool more = true; more;) {
     visit.request_id = "req_" + stamp_ + std::to_string(++requests_);
     http::Request request;
     const http::ReadEnd end = connection.read(request);
     guest->fresh = false;
-    if (end == http::ReadEnd::Closed) return;
-    Protocol* first = protocols_.front().get();
+    if (end == http::ReadEnd::Closed) break;
     if (end != http::ReadEnd::Ok) {
-      const std::string limit = std::to_string(core_.settings().http.body_bytes);
-      switch (end) {
-        case http::ReadEnd::HeaderTooLarge:
-          first->refuse(431, "the request's head is too large", visit);
-          break;
-        case http::ReadEnd::BodyTooLarge:
-          first->refuse(413, "the body is larger than " + limit + " bytes", visit);
-          break;
-        case http::ReadEnd::TimedOut:
-          first->refuse(408, "the request did not come whole in time", visit);
-          break;
-        case http::ReadEnd::NoRoom:
-          first->refuse(503, "too much is being asked at once; come again", visit);
-          break;
-        default: first->refuse(400, "this is no HTTP/1.1 request", visit);
-      }
-      return lobby_.leave(guest);
-    }
-    if (Protocol* p = protocol_for(request.target)) {
-      // The last guard: whatever goes wrong with one request ends its connection, never the front.
-      try {
-        visit.keep_alive = request.keep_alive && !winding_, visit.winding_down = winding_;
-        // An answer that did not say so is not its connection's last: the next request may be on its way.
-        more = p->serve(request, visit) && visit.keep_alive;
-      } catch (const std::exception& problem) {
-        core_.log().line(log::Level::Error, "request failed",
-                         {{"request_id", visit.request_id}, {"what", problem.what()}});
-        return;
-      }
-    } else {
-      first->refuse(404, request.method + " " + request.target.substr(0, 200) + " is not served here", visit);
-      more = false;
+      refuse(end, visit);
+      break;
     }
+    more = serve_one(request, visit);
     if (more && !connection.behind()) return lobby_.wait(guest);
   }
   lobby_.leave(guest);
 }
 
-bool Server::stop(Instant deadline) {
+// False: the connection ends with this answer.
+bool Server::serve_one(http::Request& request, Visit& visit) {
+  Protocol* const protocol = protocol_for(request.target);
+  if (!protocol) {
+    protocols_.front()->refuse(
+        404, request.method + " " + request.target.substr(0, 200) + " is not served here", visit);
+    return false;
+  }
+  const auto written = visit.connection.stream().bytes_written();
+  // The last guard: whatever goes wrong with one request ends its connection, never the front. Who has been
+  // told nothing yet is told so.
+  try {
+    visit.keep_alive = request.keep_alive && !winding_, visit.winding_down = winding_;
+    // An answer that did not say so is not its connection's last: the next request may be on its way.
+    return protocol->serve(request, visit) && visit.keep_alive;
+  } catch (const std::exception& problem) {
+    core_.log().line(log::Level::Error, "request failed",
+                     {{"request_id", visit.request_id}, {"what", problem.what()}});
+    visit.keep_alive = false;
+    if (visit.connection.stream().bytes_written() == written)
+      protocol->refuse(500, "this front failed with the request", visit);
+    return false;
+  }
+}
+
+void Server::refuse(http::ReadEnd end, Visit& visit) {
+  Protocol& first = *protocols_.front();
+  switch (end) {
+    case http::ReadEnd::HeaderTooLarge: return first.refuse(431, "the request's head is too large", visit);
+    case http::ReadEnd::BodyTooLarge:
+      return first.refuse(
+          413, "the body is larger than " + std::to_string(core_.settings().http.body_bytes) + " bytes",
+          visit);
+    case http::ReadEnd::TimedOut:
+      return first.refuse(408, "the request did not come whole in time", visit);
+    case http::ReadEnd::NoRoom:
+      return first.refuse(503, "too much is being asked at once; come again", visit);
+    default: return first.refuse(400, "this is no HTTP/1.1 request", visit);
+  }
+}
+
+bool Server::stop(Instant deadline, const std::function<void()>& meanwhile) {
   if (stopping_.exchange(true)) return true;
+  winding_ = true;
+  const auto pause = [&] { meanwhile ? meanwhile() : void(usleep(2000)); };
   if (for_clients_) core_.refuse_new();
   for (auto& l : listeners_) l->stop();
   for (auto& t : acceptors_) t.join();
@@ -150,11 +180,13 @@
   listeners_.clear();
   lobby_.close();
   const auto left = [&] { return in_work() + (for_clients_ ? core_.counts().open : 0); };
-  while (left() > 0 && net::clock_now() < deadline) usleep(2000);
+  while (left() > 0 && net::clock_now() < deadline) pause();
   const bool clean = left() == 0;
   if (for_clients_) core_.abort_all();  // streams that only listen end with it too
   const Instant last = net::clock_now() + Span::millis(3000);
-  while (open_ > 0 && net::clock_now() < last) usleep(1000);
+  while (open_ > 0 && net::clock_now() < last) pause();
+  // The process may end next: who has been answered has a moment to read it.
+  lobby_.wait_empty(net::clock_now() + Span::millis(1000));
   return clean;
 }
 
--- a/src/front/server.hpp
+++ b/src/front/server.hpp
@@ -53,15 +53,19 @@
   // From now on each answer is its connection's last; everything is taken as before.
   void wind_down() { winding_ = true; }
   // No new work; what runs may end until the deadline, then is errored. True if nothing had to be errored.
-  bool stop(Instant deadline);
+  // `meanwhile` is called again and again while it waits, and should take some milliseconds.
+  bool stop(Instant deadline, const std::function<void()>& meanwhile = {});
   std::size_t connections() const { return open_; }
   std::size_t in_work() const;  // of its protocols, beside the core's inferences
 
  private:
   void accept(net::Listener& listener);
+  void admit(net::Stream stream);
   void begin(const Lobby::Shared& guest);
   void serve(const Lobby::Shared& guest);
-  void turn_away(Lobby::Guest& guest) const;
+  bool serve_one(http::Request& request, Visit& visit);
+  void refuse(http::ReadEnd end, Visit& visit);
+  void turn_away(const Lobby::Shared& guest);
   Protocol* protocol_for(const std::string& target) const;
 
   Core& core_;
@@ -78,7 +82,7 @@
   std::string stamp_;
   std::atomic<bool> winding_ = false;
   // Before the threads that come back to it.
-  Lobby lobby_{[this](const Lobby::Shared& guest) { begin(guest); }};
+  Lobby lobby_;
   // One for each connection on which something is asked; kept for the next request of whichever, but not for
   // long, since each thread costs a node that is held back to its share.
   Workers threads_{most_, core_.settings().stack, 0, Span::millis(200)};
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -15,6 +15,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <cerrno>
 #include <charconv>
@@ -63,6 +64,8 @@
   return std::nullopt;
 }
 
+constexpr int most_refused_reads = 64;  // of 4 KiB each, from a client that is turned away
+
 boost::system::error_code last_error() { return {errno, boost::system::system_category()}; }
 
 }  // namespace
@@ -201,9 +204,14 @@
   if (fd_) ::shutdown(fd_.get(), SHUT_RDWR);
 }
 
-bool Stream::stale() const {
+bool Stream::stale(Instant until) const {
+  if (!fd_) return true;
   pollfd p{fd_.get(), POLLIN | POLLRDHUP, 0};
-  return !fd_ || ::poll(&p, 1, 0) != 0;
+  for (;;) {
+    const int ready = ::poll(&p, 1, left_millis(until));
+    if (ready != 0) return ready > 0 || errno != EINTR;
+    if (clock_now() >= until) return false;
+  }
 }
 
 bool Stream::ended() const {
@@ -249,6 +257,16 @@
   }
 }
 
+bool SpareDescriptor::release() {
+  const bool had = static_cast<bool>(fd_);
+  fd_.reset();
+  return had;
+}
+
+void SpareDescriptor::refill() {
+  if (!fd_) fd_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+}
+
 Listener::Listener(const Address& at, int backlog) {
   const auto w = where(at);
   const auto fail = [&](const char* what) {
@@ -278,30 +296,45 @@
   getsockname(fd_.get(), &got.any, &size);
   if (path_.empty()) port_ = ntohs(got.any.sa_family == AF_INET ? got.v4.sin_port : got.v6.sin6_port);
   wake_ = Fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
-  spare_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
 }
 
 Listener::~Listener() {
   if (!path_.empty()) ::unlink(path_.c_str());
 }
 
-std::optional<Stream> Listener::accept(Instant deadline) {
+std::optional<Stream> Listener::accept(Instant deadline, std::string_view refusal) {
   for (;;) {
     pollfd p[2] = {{fd_.get(), POLLIN, 0}, {wake_.get(), POLLIN, 0}};
     const int ready = ::poll(p, 2, left_millis(deadline));
-    if (ready > 0 && p[1].revents != 0) return std::nullopt;
+    const bool stopped = ready > 0 && p[1].revents != 0;
     if (ready <= 0) {
       if (clock_now() >= deadline) return std::nullopt;
       continue;
     }
     const int got = ::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC);
     if (got >= 0) return Stream(Fd(got));
-    if (errno != EMFILE && errno != ENFILE) continue;
-    spare_.reset();
-    Stream turned_away(Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
-    turned_away.reset_hard();
-    spare_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+    if (errno == EMFILE || errno == ENFILE) refuse_on_spare(refusal);
+    else if (stopped && errno != EINTR && errno != ECONNABORTED) return std::nullopt;
+  }
+}
+
+void Listener::refuse_on_spare(std::string_view refusal) {
+  spare_.release();
+  Stream refused(Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
+  if (refused.open()) {
+    boost::system::error_code ec;
+    refused.set_deadline(clock_now());
+    if (!refusal.empty()) refused.write_some(boost::asio::buffer(refusal), ec);
+    ::shutdown(refused.fd(), SHUT_WR);
+    // A close over unread bytes would reset the connection, and the answer could go with it.
+    char unread[4096];
+    for (int reads = 0; reads < most_refused_reads && !ec; ++reads)
+      refused.read_some(boost::asio::buffer(unread), ec);
+    refused.close();
+  } else {
+    usleep(1000);  // another thread has taken the descriptor: no busy loop until one is free
   }
+  spare_.refill();
 }
 
 void Listener::stop() {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -74,8 +74,8 @@
   void reset_hard();
   // From any thread that keeps the stream alive: wakes whoever waits on it.
   void shut() const;
-  // Whether the other side closed an idle connection or sent what nobody asked for.
-  bool stale() const;
+  // Whether the other side closed an idle connection or sent what nobody asked for, or does so before `until`.
+  bool stale(Instant until = {}) const;
   // Ended by the peer or broken, with nothing left to read.
   bool ended() const;
   // Whether the other side has closed its end; what it sent before may still be unread.
@@ -123,6 +123,18 @@
   std::size_t bytes_read_ = 0, bytes_written_ = 0;
 };
 
+// A descriptor held in reserve, so that what must go on can go on where all others are taken. Not thread-safe.
+class SpareDescriptor {
+ public:
+  SpareDescriptor() { refill(); }
+  // It may be used for something else now; false where there was none.
+  bool release();
+  void refill();  // where it was released and one can be had
+
+ private:
+  Fd fd_;
+};
+
 // A listening socket on an address; port 0 lets the kernel choose. Throws std::runtime_error with the address
 // and the cause.
 class Listener {
@@ -132,13 +144,16 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
   unsigned short port() const { return port_; }
-  // The next connection, or none at the deadline or after stop(). Where descriptors have run out the waiting
-  // one is accepted on a spare descriptor and closed, so that its client is told at once.
-  std::optional<Stream> accept(Instant deadline);
+  // The next connection, or none at the deadline. After stop() those that the kernel had accepted before are
+  // still given out, then none: a client may have written its request to them already. Where descriptors have
+  // run out, a waiting one is accepted on a spare descriptor, given `refusal` whole, and closed.
+  std::optional<Stream> accept(Instant deadline, std::string_view refusal = {});
   void stop();
 
  private:
-  Fd fd_, wake_, spare_;
+  void refuse_on_spare(std::string_view refusal);
+  Fd fd_, wake_;
+  SpareDescriptor spare_;
   unsigned short port_ = 0;
   std::string path_;  // of a unix socket, removed with it
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -30,6 +30,9 @@
 constexpr Span tidied_within = Span::millis(1000);
 constexpr Span first_word = Span::millis(500);  // of a registry that may be down
 constexpr Span tell_every = Span::millis(5000);
+constexpr Span drain_poll_interval = Span::millis(10);
+// An engine's second answer to one request follows its first within some milliseconds.
+constexpr Span second_answer_within = Span::millis(20);
 
 Span wall_offset() {
   timespec t{};
@@ -80,14 +83,8 @@
         Level::Info, "ready",
         {{"front", settings_.name}, {"version", version}, {"listen", net::text_of(server_.addresses()[0])}});
     for (Instant told = clock_now();;) {
-      pollfd p{signals_, POLLIN, 0};
-      const int ready = ::poll(&p, 1, 500);
-      if (ready > 0) {
-        signalfd_siginfo info{};
-        if (::read(signals_, &info, sizeof info) != sizeof info) continue;
-        if (info.ssi_signo != SIGHUP) break;
-        reread();
-      }
+      if (const int signal = next_signal(Span::millis(500)); signal == SIGHUP) reread();
+      else if (signal != 0) break;
       if (clock_now() - told >= tell_every) told = clock_now(), tell();
     }
     return stop();
@@ -100,6 +97,21 @@
     return out;
   }
 
+  // The next signal that came, or 0 when none did for so long.
+  int next_signal(Span wait) const {
+    pollfd readable{signals_, POLLIN, 0};
+    if (::poll(&readable, 1, static_cast<int>(wait.as_millis())) <= 0) return 0;
+    signalfd_siginfo info{};
+    return ::read(signals_, &info, sizeof info) == sizeof info ? static_cast<int>(info.ssi_signo) : 0;
+  }
+
+  // While the node drains a new configuration still counts: what it holds has yet to be sent by the list.
+  // A further SIGTERM changes nothing.
+  void heed_signals_while_draining() {
+    while (const int signal = next_signal(drain_poll_interval))
+      if (signal == SIGHUP) reread();
+  }
+
   void reread() {
     try {
       const auto fresh = read(file_, offset_);
@@ -136,10 +148,12 @@
   int stop() {
     log_.line(Level::Info, "stopping", {{"open", static_cast<std::int64_t>(core_.counts().open)}});
     server_.wind_down();
-    for (const Instant until = clock_now() + still_taken; clock_now() < until;) usleep(10000);
-    const bool clean = server_.stop(clock_now() + settings_.stop);
+    for (const Instant until = clock_now() + still_taken; clock_now() < until;) heed_signals_while_draining();
+    const bool clean =
+        server_.stop(clock_now() + settings_.stop, [this] { heed_signals_while_draining(); });
     // What ended last may still have something to let go.
-    for (const Instant until = clock_now() + tidied_within; clock_now() < until; usleep(5000)) {
+    for (const Instant until = clock_now() + tidied_within; clock_now() < until;
+         heed_signals_while_draining()) {
       const auto left = core_.in_work(until);
       if (!left || left->inferences + left->holdings == 0) break;
     }
@@ -178,6 +192,7 @@
   for (const auto& kind : c.told.kinds) pool.kinds.push_back({kind, true, true, false, false});
   pool.idle_used = 0.6, pool.idle_links = shares.idle_links;
   pool.idle_links_each = std::max<std::size_t>(4, shares.idle_links / 4);
+  pool.link_rest = second_answer_within;
   pool.halls.on = false, pool.index_blocks = 0;
   f.pools.push_back(std::move(pool));
   for (std::size_t k = 0; k < c.told.routes.size(); ++k) {
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -114,9 +114,10 @@
   Shares s;
   const std::size_t all = c.descriptors, rest = 20;
   // Clients hold at most a third for inferences in work; some more stand idle or are being turned away.
-  s.connections = (all - rest) * 4 / 10;
+  const std::size_t of_clients = (all - rest) * 4 / 10;
+  s.connections = of_clients * 8 / 9;  // the ninth part: those answered, and left to their clients to close
   s.inferences = (all - rest) / 3;
-  s.links = all - rest - s.connections;
+  s.links = all - rest - of_clients;
   s.idle_links = std::clamp<std::size_t>(s.links / 4, 8, 256);
   // A send keeps its thread until the answer begins; then its client's thread has the link.
   s.sends = std::clamp<std::size_t>(s.links * 2 / 3, 16, 512);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -41,9 +41,10 @@
   Span roster_every = Span::millis(500);
   Span connect = Span::millis(250);
   // Links to engines: of the time that an engine leaves them open, the part in which they are used again; how
-  // many may stand idle at one engine and in all.
+  // many may stand idle at one engine and in all; how long one is left alone after its last answer.
   double idle_used = 1;
   std::size_t idle_links_each = 256, idle_links = 65536;
+  Span link_rest = {};
   // What a lost hall is; and the index of prompts: bytes of a block, blocks kept in all (0 = no index),
   // engines that it knows of.
   halls::Rules halls;
