--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -180,6 +180,8 @@
   EngineId engine;
   Span time_out;    // zero = until the client stops waiting
   Span reach = {};  // where above zero: a connection that is not up by then is given up
+  // Where above zero: not written any more once that is over.
+  Span write_within = {};
 };
 struct HoldPlace {
   InfId inf = 0;
--- a/src/front/answering.cpp
+++ b/src/front/answering.cpp
@@ -32,6 +32,7 @@
   // A request may have stood behind others, or its client have gone right after its last byte: nothing is
   // begun for who has left.
   if (terms.client_fd >= 0 && net::hung_up(terms.client_fd)) return end_of(How::Left);
+  asked.client_fd = terms.client_fd;
   const auto opened = core_.open(std::move(asked));
   if (!opened.ticket) {
     AnswerEnd out = end_of(How::NotTaken);
@@ -42,12 +43,21 @@
     const std::lock_guard lock(mutex_);
     ticket_ = std::move(ticket);
   };
+  // However this ends, an exception included, nothing of it stays with the core.
+  struct Closing {
+    Core& core;
+    Ticket& ticket;
+    ~Closing() {
+      ticket.forget_client();
+      if (ticket.leave()) core.left(ticket);
+      core.closed(ticket);
+    }
+  } const closing{core_, *opened.ticket};
   show(opened.ticket);
   AnswerEnd out = attend(opened.ticket, terms, reader);
   show(nullptr);
   out.inf = opened.ticket->inf();
   std::tie(out.ran, out.first_run) = opened.ticket->may_have_run();
-  core_.closed(*opened.ticket);
   return out;
 }
 
--- a/src/front/bounded_queue.hpp
+++ b/src/front/bounded_queue.hpp
@@ -34,6 +34,13 @@
     items_.push_back(std::move(item));
     filled_.notify_one();
   }
+  // Beyond its bound where need be: for the few reports of whoever takes from it, which would wait for itself.
+  void put_now(T item) {
+    const std::lock_guard lock(mutex_);
+    if (closed_) return;
+    items_.push_back(std::move(item));
+    filled_.notify_one();
+  }
   // Everything that waits, at most after `wait`; empty if nothing came.
   std::deque<T> take(Span wait) {
     std::unique_lock lock(mutex_);
--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -172,11 +172,14 @@
                   .leg = Leg::Whole,
                   .until = c->ends,
                   .reach_by = c->ends,
+                  .write_by = c->ends,
                   .name = c->id.empty() ? s.name : c->id,
                   .state = {},
                   .place = {}};
   if (a.time_out > Span{}) order.until = std::min(order.until, now + a.time_out);
   order.reach_by = a.reach > Span{} ? std::min(order.until, now + a.reach) : order.until;
+  order.write_by = a.write_within > Span{} ? std::min(order.until, now + a.write_within) : order.until;
+  order.reach_by = std::min(order.reach_by, order.write_by);
   if (stage_of(a.engine) == Stage::Read) {
     s.leg = Leg::Read;
   } else if (!moot) {
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -26,6 +26,7 @@
   engines::Leg leg = engines::Leg::Read;
   Instant until;      // its time-out, at the latest the end of the client's budget
   Instant reach_by;   // a connection that is not up by then is given up
+  Instant write_by;   // it is not written any more from then on
   std::string name;   // of this send, told to the engine; what it holds is let go by this name
   std::string state;  // kv_transfer_params to fetch by; empty unless the leg is Write
   std::string place;  // held ahead at this engine, empty if none
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -330,6 +330,18 @@
   return claim_.leave();
 }
 
+void Ticket::forget_client() {
+  const std::lock_guard lock(mutex_);
+  client_fd_ = -1;
+}
+
+Ticket::Demand Ticket::demand() const {
+  const std::lock_guard lock(mutex_);
+  if (left_ || claim_.state() == Claim::State::Left) return Demand::ClientGone;
+  if (claim_.state() != Claim::State::Open) return Demand::Answered;
+  return client_fd_ >= 0 && net::hung_up(client_fd_) ? Demand::ClientGone : Demand::Waiting;
+}
+
 std::uint8_t Ticket::streaming_send() const {
   const std::lock_guard lock(mutex_);
   return claim_.send().value_or(0);
@@ -398,7 +410,7 @@
           router(seed, p.routing),
           cases(name, p.routing, speaks->releases_whole()),
           dialect(std::move(speaks)),
-          links(p.routing.link_idle * p.idle_used, p.idle_links_each, p.idle_links),
+          links(p.routing.link_idle * p.idle_used, p.idle_links_each, p.idle_links, p.link_rest),
           knowledge({p.index_blocks, p.index_engines, 200000, p.routing.fronts}, p.routing.kinds, tell(p)),
           bounds(caps, p.spill, p.routing, p.route_caps, p.route_tiers, zones),
           zone_count(zones.size()),
@@ -814,7 +826,14 @@
     const bool begun =
         workers.submit([this, &p, s, ticket = it->second.ticket, control, gate = it->second.gate] {
           Ending ending;
-          const bool handed_over = run_send(p, s, *ticket, *control, *gate, ending);
+          bool handed_over = false;
+          // Whatever goes wrong here, the attempt has an outcome: else its request would never be answered.
+          try {
+            handed_over = run_send(p, s, *ticket, *control, *gate, ending);
+          } catch (const std::exception& problem) {
+            core.log_.line(Level::Error, "attempt failed", {{"what", problem.what()}});
+            ending = Ending{.as = EndedAs::Errored, .state = {}, .report = {}};
+          }
           control->over();
           if (handed_over) return;  // the client's thread ends it
           queue.put({p.index, Ended{s.inf, s.send, std::move(ending)}});
@@ -824,9 +843,17 @@
     return begun;
   }
 
+  // `may_rest`: a link that has not rested yet is waited for, some milliseconds.
   std::optional<http::ClientConnection> link_to(PoolParts& p, const net::Address& at, Instant until,
-                                                SendFacts& facts) {
+                                                SendFacts& facts, bool may_rest = false) {
     if (auto kept = p.links.take(at)) return kept;
+    if (may_rest)
+      if (auto kept = p.links.take_once_rested(at)) return kept;
+    return connect_to(p, at, until, facts);
+  }
+
+  static std::optional<http::ClientConnection> connect_to(PoolParts& p, const net::Address& at, Instant until,
+                                                          SendFacts& facts) {
     using N = net::ConnectEnd;
     const auto connect = [&] {
       return net::Stream::connect(at, std::min(until, clock_now() + p.settings.connect));
@@ -844,6 +871,18 @@
     return http::ClientConnection(std::move(stream));
   }
 
+  // A connection on which the attempt may be written at once, once no release of its inference is on its way.
+  std::optional<http::ClientConnection> link_for_attempt(PoolParts& p, const StartSend& s,
+                                                         const net::Address& at, ReleaseGate& gate,
+                                                         SendFacts& facts) {
+    auto link = link_to(p, at, s.reach_by, facts, true);
+    if (!link) return std::nullopt;
+    gate.begin_attempt(std::min(s.reach_by, clock_now() + release_answer));
+    // What has come on a kept link since it was taken would be read as this attempt's answer.
+    if (link->uses() > 0 && link->stream().stale()) return connect_to(p, at, s.reach_by, facts);
+    return link;
+  }
+
   // True: the answer has begun and is the client's thread's now. Else `ending` tells how it ended.
   bool run_send(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control, ReleaseGate& gate,
                 Ending& ending) {
@@ -853,11 +892,10 @@
     if (!at) facts.connect = SendFacts::Connect::Unreachable;
     else if (clock_now() >= s.until || control.stopped())
       facts.not_sent = !control.stopped(), facts.cancelled = control.stopped();
-    else if (auto link = link_to(p, *at, s.reach_by, facts)) {
+    else if (auto link = link_for_attempt(p, s, *at, gate, facts)) {
       // Told meanwhile that it drains or has gone, while the send waited for a thread or its connection:
       // it counts as turned away, as the engine itself would have said.
       if (p.book.may_ask(s.engine)) {
-        gate.begin_attempt(std::min(s.reach_by, clock_now() + release_answer));
         handed_over = talk(p, s, ticket, control, *at, *link, facts, ending);
       } else {
         turned_away = true, p.links.give_back(*at, std::move(*link));
@@ -894,6 +932,16 @@
     ending.link_uses = link.uses() + 1, ending.link_stood = stood;
     const Asked& asked = ticket.asked();
     const Words words = p.dialect->send(s, asked, settings.routes[asked.route]);
+    // Nothing is begun for a client that has gone or has its answer, nor past the time by which it had to be
+    // written: a connection may take longer to come up than either.
+    const Ticket::Demand demand = ticket.demand();
+    if (demand != Ticket::Demand::Waiting || clock_now() >= s.write_by) {
+      facts.not_sent = demand == Ticket::Demand::ClientGone;
+      facts.cancelled = demand == Ticket::Demand::Answered;
+      facts.connect = SendFacts::Connect::TimedOut;  // else
+      if (control.detach()) p.links.give_back(at, std::move(link));
+      return false;
+    }
     const auto before = link.stream().bytes_written();
     facts.asked_whole = link.ask(words.method, words.target, words.headers, *words.body, s.until);
     facts.any_written = link.stream().bytes_written() > before;
@@ -996,8 +1044,9 @@
     };
     if (!after) return errands.submit(ask);
     if (!read) return false;
+    // It may be written already: then this is the owner, which must not wait for room in its own queue.
     read->once_written([this, &p, a, ask](bool written) {
-      if (!written || !errands.submit(ask)) queue.put({p.index, PlaceSaid{a, false}});
+      if (!written || !errands.submit(ask)) queue.put_now({p.index, PlaceSaid{a, false}});
     });
     return true;
   }
--- a/src/front/core.hpp
+++ b/src/front/core.hpp
@@ -78,6 +78,7 @@
   bool repeat = false;         // the client marks it as one
   bool resumed = false;        // the client asks for the rest of an answer that broke
   bool key_taken = false;      // an inference before it holds the client's key: it is not asked for again
+  int client_fd = -1;          // its client's connection, open until the ticket forgets it; -1 = none
 };
 
 // An answer that has begun at an engine; read by the client's thread alone.
@@ -108,8 +109,6 @@
   std::size_t at_ = 0;
   net::Address engine_;
   Usage usage_;
-  int writes_ = 0;
-  Instant first_write_;
   bool finished_ = false, body_done_ = false;
 };
 
@@ -127,6 +126,7 @@
   Ticket(InfId inf, Instant opened, std::size_t pool, Asked asked)
       : inf_(inf), opened_(opened), pool_(pool), asked_(std::move(asked)) {
     usage_.prompt_tokens = asked_.prompt_tokens;
+    client_fd_ = asked_.client_fd;
   }
   InfId inf() const { return inf_; }
   Instant opened() const { return opened_; }
@@ -143,7 +143,14 @@
   // The client's thread gives up. True if the module must hear that the client left.
   bool leave();
   std::uint8_t streaming_send() const;
+  // The client's thread: from now on the client's descriptor may be closed.
+  void forget_client();
 
+  // Others:
+  // The last look before an attempt is written, in the same step as the write: whether the client still waits
+  // for one, whoever else has heard of its leaving so far.
+  enum class Demand { Waiting, Answered, ClientGone };
+  Demand demand() const;
   // Others: whoever claims first speaks to the client.
   bool claim_stream(std::uint8_t send);
   bool deliver(std::unique_ptr<EngineStream>& stream);  // false: the client has left meanwhile
@@ -166,6 +173,7 @@
   bool poked_ = false, peer_left_ = false;
   Claim claim_;
   bool left_ = false;
+  int client_fd_ = -1;
   Usage usage_;
   int writes_ = 0;
   Instant first_write_;
--- a/src/front/hangups.cpp
+++ b/src/front/hangups.cpp
@@ -7,9 +7,14 @@
 
 namespace calicograde::front {
 
-Hangups::Hangups() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+namespace {
+constexpr std::uint64_t stop_number = 0;  // watches count from 1
+}  // namespace
+
+Hangups::Hangups(std::function<void()> before_telling)
+    : epoll_(::epoll_create1(EPOLL_CLOEXEC)), before_telling_(std::move(before_telling)) {
   epoll_event e{};
-  e.events = EPOLLIN, e.data.fd = -1;
+  e.events = EPOLLIN, e.data.u64 = stop_number;
   if (!epoll_ || !stop_.ok() || ::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, stop_.fd(), &e) != 0)
     throw std::runtime_error("cannot watch clients: no descriptor is left");
   thread_ = std::thread([this] { run(); });
@@ -26,11 +31,12 @@
     const int n = ::epoll_wait(epoll_.get(), come, 16, -1);
     if (n < 0 && errno != EINTR) return;
     for (int k = 0; k < n; ++k) {
-      if (come[k].data.fd < 0) return;
+      if (come[k].data.u64 == stop_number) return;
+      if (before_telling_) before_telling_();
       std::shared_ptr<Ticket> ticket;
       {
         const std::lock_guard lock(mutex_);
-        if (const auto it = watched_.find(come[k].data.fd); it != watched_.end()) ticket = it->second;
+        if (const auto it = watched_.find(come[k].data.u64); it != watched_.end()) ticket = it->second;
       }
       if (ticket) ticket->peer_left();
     }
@@ -42,10 +48,11 @@
   if (fd_ < 0) return;
   {
     const std::lock_guard lock(hangups_.mutex_);
-    hangups_.watched_[fd_] = std::move(ticket);
+    number_ = ++hangups_.numbers_;
+    hangups_.watched_[number_] = std::move(ticket);
   }
   epoll_event e{};
-  e.events = EPOLLRDHUP | EPOLLONESHOT, e.data.fd = fd_;
+  e.events = EPOLLRDHUP | EPOLLONESHOT, e.data.u64 = number_;
   // Where it can't be watched, Ticket::wait() looks now and then.
   static_cast<void>(::epoll_ctl(hangups_.epoll_.get(), EPOLL_CTL_ADD, fd_, &e));
 }
@@ -55,7 +62,7 @@
   epoll_event none{};
   ::epoll_ctl(hangups_.epoll_.get(), EPOLL_CTL_DEL, fd_, &none);
   const std::lock_guard lock(hangups_.mutex_);
-  hangups_.watched_.erase(fd_);
+  hangups_.watched_.erase(number_);
 }
 
 }  // namespace calicograde::front
--- a/src/front/hangups.hpp
+++ b/src/front/hangups.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -14,7 +16,9 @@
 // that waiting costs no descriptor. Thread-safe.
 class Hangups {
  public:
-  Hangups();  // throws std::runtime_error where descriptors have run out
+  // `before_telling`, for tests: called between hearing of a hang-up and telling its ticket. Throws
+  // std::runtime_error where descriptors have run out.
+  explicit Hangups(std::function<void()> before_telling = {});
   ~Hangups();
   // While it lives; ended before the client's connection is.
   class Watch {
@@ -27,14 +31,19 @@
    private:
     Hangups& hangups_;
     const int fd_;
+    std::uint64_t number_ = 0;
   };
 
  private:
   void run();
   const net::Fd epoll_;
   const net::Wake stop_;
+  const std::function<void()> before_telling_;
   std::mutex mutex_;
-  std::map<int, std::shared_ptr<Ticket>> watched_;
+  // By a number that is never used again. Guards against a hang-up that is heard of while its watch ends: its
+  // descriptor may be another client's by then.
+  std::map<std::uint64_t, std::shared_ptr<Ticket>> watched_;
+  std::uint64_t numbers_ = 0;
   std::thread thread_;
 };
 
--- a/src/front/links.hpp
+++ b/src/front/links.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -15,21 +16,43 @@
 // Connections to engines that are open and idle, by address. Thread-safe.
 class Links {
  public:
-  // Newest first, `most_each` an address and `most` in all.
-  Links(Span idle, std::size_t most_each, std::size_t most = 65536)
-      : idle_(idle), most_each_(most_each), most_(most) {}
+  // Newest first, `most_each` an address and `most` in all. `rest`: so long after its last answer a connection
+  // is not used; a second answer that follows behind that would be taken for the next request's.
+  Links(Span idle, std::size_t most_each, std::size_t most = 65536, Span rest = {})
+      : idle_(idle), most_each_(most_each), most_(most), rest_(rest) {}
 
-  // The one used last, if it still is as it was left; those that are too old or closed by the engine go.
+  // The one used last of those that have rested, if it still is as it was left; those that are too old or
+  // closed by the engine go.
   std::optional<http::ClientConnection> take(const net::Address& to) {
     const std::lock_guard lock(mutex_);
     const auto it = kept_.find(to);
-    while (it != kept_.end() && !it->second.empty()) {
-      Kept last = std::move(it->second.back());
-      it->second.pop_back(), --idle_now_;
-      if (net::clock_now() - last.since < idle_ && !last.link.stream().stale()) return std::move(last.link);
+    if (it == kept_.end()) return std::nullopt;
+    auto& kept = it->second;
+    const Instant now = net::clock_now();
+    auto resting = kept.end();
+    while (resting != kept.begin() && now - std::prev(resting)->since < rest_) --resting;
+    while (resting != kept.begin()) {
+      Kept last = std::move(*std::prev(resting));
+      resting = kept.erase(std::prev(resting)), --idle_now_;
+      if (now - last.since < idle_ && !last.link.stream().stale()) return std::move(last.link);
     }
     return std::nullopt;
   }
+  // Where none has rested: the one that will have first. Waits until then, and gives none if anything came on
+  // it meanwhile.
+  std::optional<http::ClientConnection> take_once_rested(const net::Address& to) {
+    std::optional<Kept> first;
+    {
+      const std::lock_guard lock(mutex_);
+      const auto it = kept_.find(to);
+      if (it == kept_.end() || it->second.empty()) return std::nullopt;
+      first = std::move(it->second.front());
+      it->second.pop_front(), --idle_now_;
+    }
+    const Instant rested = first->since + rest_;
+    if (first->link.stream().stale(rested)) return std::nullopt;
+    return std::move(first->link);
+  }
   void give_back(const net::Address& to, http::ClientConnection link) {
     if (!link.reusable()) return;
     // Whoever used it last is watched no more: its descriptor may be another's by now (found by a day with
@@ -98,6 +121,7 @@
 
   const Span idle_;
   const std::size_t most_each_, most_;
+  const Span rest_;
   mutable std::mutex mutex_;
   std::size_t idle_now_ = 0;
   std::map<net::Address, std::deque<Kept>> kept_;
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -3,6 +3,8 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstdio>
+#include <exception>
 
 #include "net/thread.hpp"
 
@@ -55,7 +57,12 @@
     auto job = std::move(shared->jobs.front());
     shared->jobs.pop_front();
     lock.unlock();
-    job();
+    // A job answers for its own failures; one that does not must not end the whole process.
+    try {
+      job();
+    } catch (const std::exception& problem) {
+      std::fprintf(stderr, "{\"event\":\"job failed\",\"what\":\"%s\"}\n", problem.what());
+    }
     job = {};
     lock.lock();
   }
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 
 #include "net/clock.hpp"
 #include "platform/objects.hpp"
@@ -77,7 +78,10 @@
 Span Follower::spread(Span mean) { return mean * std::uniform_real_distribution<double>(0.5, 1.5)(random_); }
 
 bool Follower::watch(const net::Address& at) {
+  spare_.refill();
   auto [how, stream] = net::Stream::connect(at, clock_now() + rules_.connect);
+  if (how == net::ConnectEnd::NoDescriptor && spare_.release())
+    std::tie(how, stream) = net::Stream::connect(at, clock_now() + rules_.connect);
   if (how != net::ConnectEnd::Connected)
     return core_.log().line(Level::Warn, "registry not reached", {{"at", net::text_of(at)}}), false;
   http::ClientConnection link(std::move(stream));
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -666,7 +666,18 @@
     // What is held waits for a connection, too: it is given up while there is time to let go.
     const Span left = s_.pin_limit - tick - (now_ - f.held_since);
     const Span reach = f.state_at ? std::max(Span::millis(2), left) : Span{};
-    out_.push_back(SendTo{f.what.inf, to, limit, reach});
+    out_.push_back(SendTo{f.what.inf, to, limit, reach, repeat_window_left(f)});
+  }
+
+  // How long a repeat may still be written: its connection may come up late, and engines forget the first
+  // attempt. Zero where nothing binds it.
+  Span repeat_window_left(const Inference& f) const {
+    const ModelRoute& r = route(f.what);
+    Span left;
+    for (const Send& s : f.sends)
+      if (r.effect == Effect::Deduped && s.ran && !s.to_reader && s.at < now_ && left == Span{})
+        left = std::max(Span::micros(1), r.dedupe_window - tick - (now_ - s.at));  // the first binds most
+    return left;
   }
 
   void cancel(Inference& f, Send& s) {
