An ended request's id is not worked on again (pinned); tests that force crossings

Ruled out: a release not sent or not taken (no such line), a node restart, the id at two nodes (only n4 names it).

--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -109,6 +109,12 @@
   act_ = act, times_ = times;
 }
 
+void PlatformEngine::pause(bool on) {
+  const std::lock_guard lock(mutex_);
+  paused_ = on;
+  resumed_.notify_all();
+}
+
 Act PlatformEngine::next_act() {
   const std::lock_guard lock(mutex_);
   if (times_ <= 0) return Act::Usual;
@@ -162,6 +168,12 @@
     ~Reading() { hall.reading(id, false); }
   };
   const auto reading = reader_ ? std::make_unique<Reading>(hall_, id) : nullptr;
+  {
+    std::unique_lock lock(mutex_);
+    ++waiting_;
+    resumed_.wait_for(lock, std::chrono::seconds(20), [&] { return !paused_; });
+    --waiting_;
+  }
   // A moment, in which a place for it can be asked for.
   for (int k = 0; reader_ && k < 100 && hall_.count("POST", "/state/" + id) == 0; ++k) usleep(1000);
   switch (act) {
@@ -252,6 +264,12 @@
   changed_.notify_all();
 }
 
+void PlatformRegistry::silent_watches(int count, const std::string& first_bytes) {
+  const std::lock_guard lock(mutex_);
+  silent_watches_ = count, first_bytes_ = first_bytes;
+  changed_.notify_all();
+}
+
 void PlatformRegistry::serve(net::Stream stream) {
   http::ServerConnection c(std::move(stream), {});
   http::Request r;
@@ -265,6 +283,12 @@
   const auto gone = [&] { return server_.stopping() || c.stream().peer_left(); };
   while (mute_ && !gone()) changed_.wait_for(lock, std::chrono::milliseconds(50));
   if (gone() || !c.begin_stream(200, {})) return;
+  if (silent_watches_ > 0) {
+    --silent_watches_;
+    c.piece(first_bytes_);
+    while (!gone()) changed_.wait_for(lock, std::chrono::milliseconds(50));
+    return;
+  }
   Instant last = clock_now();
   for (bool first = true; !gone();) {
     std::string line;
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -96,6 +96,9 @@
   bool reader() const { return reader_; }
   void next(Act act, int times = 1);
   void events(int count) { events_ = count; }
+  // While paused, requests that have come wait before they are dealt with.
+  void pause(bool on);
+  int waiting() const { return waiting_; }  // of those
   int connections() const { return connections_; }
   static std::string answer(int events);  // the stream's bytes, without its framing
 
@@ -108,8 +111,10 @@
   const std::string name_;
   const bool reader_;
   PlatformHall& hall_;
-  std::atomic<int> events_, connections_ = 0;
+  std::atomic<int> events_, connections_ = 0, waiting_ = 0;
   std::mutex mutex_;
+  std::condition_variable resumed_;
+  bool paused_ = false;
   Act act_ = Act::Usual;
   int times_ = 0;
   LoopbackServer server_;
@@ -125,6 +130,8 @@
   std::string list() const;                 // the whole, as JSON
   void mute(bool on);                       // no line, not even an empty one
   void say(const std::string& raw);         // that line, to all that watch
+  // The next watches say this after their head, and nothing more.
+  void silent_watches(int count, const std::string& first_bytes = "");
   int watches() const { return watches_; }  // opened so far
 
  private:
@@ -141,6 +148,8 @@
   std::uint64_t version_ = 1;
   std::vector<std::string> said_;
   bool mute_ = false;
+  int silent_watches_ = 0;
+  std::string first_bytes_;
   std::atomic<int> watches_ = 0;
   LoopbackServer server_;
 };
--- a/src/node/client_front.cpp
+++ b/src/node/client_front.cpp
@@ -1,12 +1,11 @@
 #include "node/client_front.hpp"
 
 #include <cstdio>
-#include <mutex>
 #include <nlohmann/json.hpp>
-#include <set>
 
 #include "front/answering.hpp"
 #include "net/clock.hpp"
+#include "node/request_ids.hpp"
 #include "platform/request.hpp"
 
 namespace calicograde::node {
@@ -19,27 +18,12 @@
 constexpr std::string_view no_room =
     "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
-// The ids of inferences in work here: a second one under the same id is refused, and the first not touched.
-class Ids {
- public:
-  bool take(const std::string& id) {
-    const std::lock_guard lock(mutex_);
-    return in_work_.insert(id).second;
-  }
-  void let_go(const std::string& id) {
-    const std::lock_guard lock(mutex_);
-    in_work_.erase(id);
-  }
-
- private:
-  std::mutex mutex_;
-  std::set<std::string> in_work_;
-};
-
-struct Taken {
-  Ids& ids;
+// Keeps an id from being used again, from the request's arrival on.
+struct IdInUse {
+  RequestIds& ids;
   const std::string& id;
-  ~Taken() { ids.let_go(id); }
+  bool begun = true;  // false: nothing was taken under it
+  ~IdInUse() { begun ? ids.end(id, net::clock_now()) : ids.forget(id); }
 };
 
 class ClientFront : public front::Protocol {
@@ -89,9 +73,9 @@
 
   bool ask(const platform::Wanted& w, http::Request& request, Visit& visit) {
     const Instant now = net::clock_now();
-    if (!ids_.take(w.id))
-      return fail(409, "a request with this Request-Id is in work; give a new one", visit);
-    const Taken taken{ids_, w.id};
+    if (!ids_.begin(w.id, now))
+      return fail(409, "a request with this Request-Id is in work or was lately; give each a new one", visit);
+    IdInUse id_in_use{ids_, w.id};
     front::Asked asked;
     asked.route = w.route, asked.session = w.session, asked.shared_text = w.shared_text;
     asked.prompt_tokens = w.prompt_tokens, asked.shared_tokens = w.shared_tokens;
@@ -106,11 +90,10 @@
     front::Answering answering(core_);
     const front::Answering::Terms terms{asked.ends, true, false, visit.connection.stream().fd()};
     const AnswerEnd end = answering.run(std::move(asked), terms, passing);
+    id_in_use.begun = end.how != How::NotTaken;
     if (passing.begun) {
-      // What broke ends without its last chunk.
-      if (end.how == How::Completed) return visit.connection.end_stream();
-      visit.connection.stream().shut();
-      return false;
+      // What broke ends without its last chunk; the server ends the connection.
+      return end.how == How::Completed && visit.connection.end_stream();
     }
     switch (end.how) {
       case How::Left: return false;
@@ -143,7 +126,7 @@
 
   front::Core& core_;
   const platform::Decoded names_;
-  Ids ids_;
+  RequestIds ids_;
 };
 
 }  // namespace
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -59,6 +59,25 @@
   EXPECT_NE(w.sent(1, 2).engine, w.sent(1, 1).engine);
 }
 
+// A repeat whose connection comes up late must not be written once engines have forgotten the first attempt.
+TEST(Router, ARepeatIsWrittenWithinTheWindowOrNotAtAll) {
+  Settings s = usual_settings();
+  s.routes[0].effect = Effect::Deduped, s.routes[0].dedupe_group = DedupeGroup::All;
+  s.routes[0].dedupe_window = ms(200);
+  s.pin_limit = ms(2000);
+  World w(s);
+  w.list(small_fleet());
+  w.arrive(1, 1000, ms(20000));
+  w.end(1, 0, EndedAs::ReadDone);
+  ASSERT_EQ(w.sends(1), 2u);
+  EXPECT_EQ(w.sent(1, 1).write_within, Span{});  // the first attempt is not bound by it
+  w.pass(ms(120));
+  w.end(1, 1, EndedAs::Reset);
+  ASSERT_EQ(w.sends(1), 3u);
+  EXPECT_GT(w.sent(1, 2).write_within, Span{});
+  EXPECT_LE(w.sent(1, 2).write_within, ms(80));
+}
+
 // Found on sockets: a network that resets kept connections left nine of fourteen engines in doubt.
 TEST(Router, AKeptLinkThatBreaksAsItIsUsedAgainCastsNoDoubt) {
   for (const bool kept_link : {true, false}) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -55,7 +55,7 @@
   struct Sent {
     EngineId engine;
     Instant at;
-    Span reach;  // zero = no limit of its own
+    Span reach, write_within;  // zero = no limit of their own
     bool reader = false, out = true, started = false, cancelled = false, ran = true;
   };
   struct Inf {
@@ -201,7 +201,7 @@
     }
     Sent s;
     s.engine = a.engine;
-    s.at = now, s.reach = a.reach;
+    s.at = now, s.reach = a.reach, s.write_within = a.write_within;
     s.reader = settings.kinds[to.kind].stage == Stage::Read;
     f.sends.push_back(s);
   }
