--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -15,7 +15,6 @@
 #include <time.h>
 #include <unistd.h>
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <cerrno>
 #include <charconv>
@@ -320,17 +319,14 @@
 
 void Listener::refuse_on_spare(std::string_view refusal) {
   spare_.release();
-  Stream refused(Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
-  if (refused.open()) {
-    boost::system::error_code ec;
-    refused.set_deadline(clock_now());
-    if (!refusal.empty()) refused.write_some(boost::asio::buffer(refusal), ec);
-    ::shutdown(refused.fd(), SHUT_WR);
+  if (const Fd refused(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)); refused) {
+    if (!refusal.empty())
+      static_cast<void>(::send(refused.get(), refusal.data(), refusal.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+    ::shutdown(refused.get(), SHUT_WR);
     // A close over unread bytes would reset the connection, and the answer could go with it.
     char unread[4096];
-    for (int reads = 0; reads < most_refused_reads && !ec; ++reads)
-      refused.read_some(boost::asio::buffer(unread), ec);
-    refused.close();
+    for (int reads = 0; reads < most_refused_reads; ++reads)
+      if (::recv(refused.get(), unread, sizeof unread, MSG_DONTWAIT) <= 0) break;
   } else {
     usleep(1000);  // another thread has taken the descriptor: no busy loop until one is free
   }
--- a/tests/program/net_race_test.cpp
+++ b/tests/program/net_race_test.cpp
@@ -1,7 +1,9 @@
 // What happens when an answer, a close, a hang-up or a stop comes between two steps of a connection's life:
 // each test forces one such crossing on real sockets, by a hook or by a peer that waits.
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -52,6 +54,67 @@
   EXPECT_FALSE(listener.accept(soon()));
 }
 
+// While it lives this process can open no further descriptor. Nothing is checked meanwhile: the sanitizers
+// need descriptors to look at memory.
+class NoDescriptors {
+ public:
+  NoDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    const rlimit few{256, before_.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &few);
+    for (bool any = true; any;) {
+      taken_.emplace_back(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+      any = static_cast<bool>(taken_.back());
+    }
+  }
+  ~NoDescriptors() {
+    taken_.clear();
+    setrlimit(RLIMIT_NOFILE, &before_);
+  }
+
+ private:
+  rlimit before_{};
+  std::vector<net::Fd> taken_;
+};
+
+// Where descriptors have run out a newcomer is told so, and not with a reset.
+TEST(Listener, AnswersANewcomerOnItsSpareDescriptor) {
+  net::Listener listener(net::Address{"127.0.0.1", 0});
+  auto client = dial(listener);
+  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+  bool accepted = true;
+  {
+    const NoDescriptors none;
+    accepted = listener.accept(clock_now() + Span::millis(200), refusal).has_value();
+  }
+  EXPECT_FALSE(accepted);
+  std::string told;
+  char piece[256];
+  boost::system::error_code ec;
+  while (!ec) told.append(piece, client.read_some(boost::asio::buffer(piece), ec));
+  EXPECT_EQ(told, refusal);
+  EXPECT_EQ(ec, boost::asio::error::eof);
+}
+
+// What the registry's watch is opened with where clients and engines have taken all others.
+TEST(SpareDescriptor, CanBeUsedWhereAllOthersAreTaken) {
+  net::SpareDescriptor spare;
+  bool without = true, with = false, again = true, refilled = false;
+  {
+    const NoDescriptors none;
+    const auto can_open = [] { return static_cast<bool>(net::Fd(::socket(AF_INET, SOCK_STREAM, 0))); };
+    without = can_open();
+    with = spare.release() && can_open();
+    again = spare.release();
+    spare.refill();
+    refilled = spare.release();
+  }
+  EXPECT_FALSE(without);
+  EXPECT_TRUE(with);
+  EXPECT_FALSE(again);
+  EXPECT_TRUE(refilled);
+}
+
 // Found by reading: a hang-up that was heard of just as its watch ended was told to whoever had the
 // descriptor by then, and that client's request was dropped.
 TEST(Hangups, AHangUpHeardLateIsNotTheNextClients) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -283,6 +283,27 @@
   }
 }
 
+// Found on a calm day of a site without second copies: reads in a queue were cancelled because their engine
+// was doubted, and read anew elsewhere, which made the queue.
+TEST(Router, WithoutSecondCopiesADoubtOfTheEngineAloneMovesNothing) {
+  Settings s = usual_settings();
+  s.second_copies = false;
+  World w(s);
+  w.list(small_fleet());
+  w.arrive(1, 1000, ms(20000));
+  std::optional<Instant> doubted, cancelled;
+  for (int k = 0; k < 200 && !cancelled; ++k) {
+    w.pass(ms(20));
+    for (const auto& a : w.last)
+      if (const auto* log = std::get_if<Log>(&a); log && log->text.find("doubted") != std::string::npos)
+        doubted = doubted.value_or(w.now);
+    if (w.sent(1, 0).cancelled) cancelled = w.now;
+  }
+  ASSERT_TRUE(doubted);
+  ASSERT_TRUE(cancelled);  // a silent one is not waited for, either
+  EXPECT_GE(*cancelled - *doubted, ms(100));
+}
+
 // A writer with an open connection is still reached in that time.
 TEST(Router, AnOpenConnectionTakesAStateThatHasWaitedForAnother) {
   Settings s = usual_settings();
