--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -563,14 +563,27 @@
   EXPECT_LE(first_second, 6);
 }
 
-// The whole fleet towards one writer that has just come back, in every window of its cold time: fronts that
-// see very unequal shares of the traffic, and do not speak with one another, stay within the budget and what
-// chance explains. Where the others are busy it is the cheapest, and everything goes there that may.
+// The whole fleet towards writers that have just come back, one or many at once, in every window of their
+// cold time: fronts that see very unequal shares of the traffic, and do not speak with one another, stay
+// within the budget of each and what chance explains. Where the others are busy a cold one is the cheapest,
+// and everything goes there that may.
 TEST(Router, AFleetOfUnequalFrontsStaysWithinAColdEnginesBudgetInEachWindow) {
   constexpr double all_a_second = 100;
   constexpr int warm_s = 8, cold_s = 10;
-  for (const auto& [fronts, busy] : std::vector<std::pair<int, bool>>{
-           {3, false}, {30, false}, {300, false}, {3, true}, {30, true}, {300, true}}) {
+  struct Play {
+    int fronts;
+    bool busy;
+    int cold;  // writers that come back
+  };
+  for (const auto& [fronts, busy, cold] : std::vector<Play>{{3, false, 1},
+                                                            {30, false, 1},
+                                                            {300, false, 1},
+                                                            {3, true, 1},
+                                                            {30, true, 1},
+                                                            {300, true, 1},
+                                                            {3, true, 5},
+                                                            {30, true, 5},
+                                                            {300, true, 5}}) {
     Settings s = usual_settings();
     s.fronts = fronts;
     std::vector<EngineEntry> fleet;
@@ -581,7 +594,8 @@
     for (int k = 0; k < fronts; ++k) shares.push_back(share(random));
     const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
     const Instant begun = Instant::at(ms(5000)), returned = begun + ms(warm_s * 1000);
-    std::vector<double> at;  // seconds after the return, of sends to the cold writer
+    std::map<EngineId, std::vector<double>> sends;  // by cold writer, in seconds after its return
+    for (int n = 0; n < cold; ++n) sends[eng(2 * n + 1)];
     for (int k = 0; k < fronts; ++k) {
       World w(s, static_cast<std::uint64_t>(k) + 1);
       w.now = begun;
@@ -594,9 +608,12 @@
            t = t + Span::from_seconds(gap(random))) {
         if (!told && t >= returned) {
           told = true, w.now = returned;
-          auto fresh = fleet[1];
-          fresh.started = returned;
-          w.list({fresh}, ListScope::Delta);
+          std::vector<EngineEntry> fresh;
+          for (int n = 0; n < cold; ++n) {
+            fresh.push_back(fleet[static_cast<std::size_t>(2 * n + 1)]);
+            fresh.back().started = returned;
+          }
+          w.list(fresh, ListScope::Delta);
         }
         w.now = std::max(w.now, t);
         w.timers.clear();
@@ -605,23 +622,27 @@
         w.now = w.now + ms(20);
         w.end(id, 0, EndedAs::ReadDone);
         if (w.sends(id) < 2) continue;
-        if (told && w.sent(id, 1).engine == eng(1)) at.push_back((w.sent(id, 1).at - returned).seconds());
+        const auto to_cold = sends.find(w.sent(id, 1).engine);
+        if (told && to_cold != sends.end())
+          to_cold->second.push_back((w.sent(id, 1).at - returned).seconds());
         w.start(id, 1);
-        if (busy && w.sent(id, 1).engine != eng(1)) continue;  // a stream that goes on
+        if (busy && to_cold == sends.end()) continue;  // a stream that goes on
         w.now = w.now + ms(30);
         w.end(id, 1, EndedAs::Completed);
         w.infs.erase(id);
       }
     }
-    std::sort(at.begin(), at.end());
-    EXPECT_GE(at.size(), static_cast<std::size_t>(cold_s)) << fronts;  // it is not left out altogether
-    for (std::size_t k = 0; k < at.size(); ++k) {
-      const double warm = s.cold_from + (1 - s.cold_from) * std::min(1.0, at[k] / s.cold.seconds());
-      const double allowed = s.fall_multiple * (all_a_second / 10) * s.fall.seconds() * warm;
-      const auto last = std::lower_bound(at.begin(), at.end(), at[k] + s.fall.seconds());
-      const auto in_window = static_cast<double>(last - at.begin()) - static_cast<double>(k);
-      EXPECT_LE(in_window, allowed + 2 * std::sqrt(allowed) + 2)
-          << fronts << " fronts, from " << at[k] << " s";
+    for (auto& [engine, at] : sends) {
+      std::sort(at.begin(), at.end());
+      EXPECT_GE(at.size(), static_cast<std::size_t>(cold_s)) << fronts;  // it is not left out altogether
+      for (std::size_t k = 0; k < at.size(); ++k) {
+        const double warm = s.cold_from + (1 - s.cold_from) * std::min(1.0, at[k] / s.cold.seconds());
+        const double allowed = s.fall_multiple * (all_a_second / 10) * s.fall.seconds() * warm;
+        const auto last = std::lower_bound(at.begin(), at.end(), at[k] + s.fall.seconds());
+        const auto in_window = static_cast<double>(last - at.begin()) - static_cast<double>(k);
+        EXPECT_LE(in_window, allowed + 2 * std::sqrt(allowed) + 2)
+            << fronts << " fronts, " << cold << " cold, from " << at[k] << " s";
+      }
     }
   }
 }
