--- /dev/null
+++ b/src/faults/fault_library.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+// For tests that are linked with the fault library: single system calls of this process that fail.
+namespace calicograde::faults {
+
+// The next `times` calls of that name, on any thread, fail with `error` (an errno value) and have no effect.
+// Known names: poll, epoll_wait, epoll_ctl, socket, accept4, connect, recv, send, read, write, fsync,
+// fdatasync, renameat, rename, opendir.
+void fail_next(const char* call, int error, int times);
+// How often it was called since the process started, failing calls included.
+int calls_made(const char* call);
+
+}  // namespace calicograde::faults
--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -23,6 +23,11 @@
   while (threads_ > 0) usleep(1000);
 }
 
+void LoopbackServer::drop_connections() {
+  const std::lock_guard lock(mutex_);
+  for (const auto* s : open_) s->shut();
+}
+
 void LoopbackServer::accept() {
   while (!stopping_) {
     auto stream = listener_.accept(clock_now() + Span::millis(1000));
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -25,6 +25,7 @@
   ~LoopbackServer();
   std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
   bool stopping() const { return stopping_; }
+  void drop_connections();  // resets those that are open
 
  private:
   void accept();
--- /dev/null
+++ b/src/soak/journal.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/time.hpp"
+
+// What was seen on the sockets of a soak run, by the clients, engines and discovery agents that the run
+// itself consists of. No node's own word is among it.
+namespace calicograde::soak {
+
+enum class Effect { Retriable, Deduped, NonRetriable };
+enum class Role { Prefill, Decode };
+enum class Lifecycle { Ready, Draining, Gone };
+
+// A client has written a request's last byte.
+struct RequestSent {
+  std::string id;
+  std::size_t node = 0;
+  Effect effect = Effect::Retriable;
+  Instant at, deadline;
+};
+enum class AnswerKind {
+  Stream,       // 200, to its last chunk
+  CutStream,    // 200, the connection ended before the last chunk
+  Refused,      // 429 or 503
+  Failed,       // any other status
+  NoAnswer,     // the connection ended without one
+  Silence,      // none came until the client gave up waiting
+  ClientLeft,   // the client closed its connection first
+  NotReceived,  // a connection that had rested ended before it had been read from: the client asks again
+};
+const char* name_of(AnswerKind kind);
+struct RequestEnded {
+  std::string id;
+  Instant at;
+  AnswerKind kind = AnswerKind::NoAnswer;
+  std::string body;
+};
+// An attempt's last byte has reached an engine that runs.
+struct AttemptBegan {
+  std::string id;
+  std::size_t engine = 0;
+  std::uint64_t attempt = 0;  // counted over the run, from 1
+  Role role = Role::Prefill;
+  Instant at;
+};
+struct AttemptEnded {
+  std::string id;
+  std::uint64_t attempt = 0;
+  Instant at;
+  bool ran = false;     // with its effect
+  std::string stream;   // the bytes of the events that it was to consist of; empty = none
+  bool broken = false;  // the engine itself broke it off
+};
+// A state or a place is held for a request, or no longer.
+struct HoldBegan {
+  std::string id;
+  std::size_t engine = 0;
+  Instant at;
+};
+struct HoldEnded {
+  std::string id;
+  std::size_t engine = 0;
+  Instant at;
+};
+// What a node counts as told of an engine from then on.
+struct LifecycleTold {
+  std::size_t node = 0, engine = 0;
+  std::uint64_t version = 0;  // of the list
+  Lifecycle lifecycle = Lifecycle::Ready;
+  Instant at;
+};
+struct NodeStarted {
+  std::size_t node = 0;
+  Instant at;
+};
+struct NodeReady {
+  std::size_t node = 0;
+  Instant at;
+};
+enum class NodeEnd { Killed, AfterSigterm, KilledAfterSigterm, Crashed };
+struct NodeEnded {
+  std::size_t node = 0;
+  Instant at;
+  NodeEnd how = NodeEnd::Killed;
+  int status = 0;
+};
+using Entry = std::variant<RequestSent, RequestEnded, AttemptBegan, AttemptEnded, HoldBegan, HoldEnded,
+                           LifecycleTold, NodeStarted, NodeReady, NodeEnded>;
+
+// Thread-safe.
+class Journal {
+ public:
+  void add(Entry entry);
+  std::vector<Entry> all() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<Entry> entries_;
+};
+
+}  // namespace calicograde::soak
--- /dev/null
+++ b/src/soak/main.cpp
@@ -0,0 +1,48 @@
+// calicograde-soak: plays seeds of the fault soak one after the other. Exit status 0 where all passed.
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "net/socket.hpp"
+#include "soak/soak.hpp"
+
+using namespace calicograde;
+
+int main(int argc, char** argv) {
+  CLI::App app{"Plays front nodes as real processes on loopback under faults that overlap"};
+  soak::Options options;
+  std::uint64_t first = 1, seeds = 1;
+  int seconds = 14;
+  app.add_option("--daemon", options.daemon, "the calicograded to be played")->required();
+  app.add_option("--faults", options.fault_library, "the fault library; none = system calls do not fail");
+  app.add_option("--first", first, "the first seed");
+  app.add_option("--seeds", seeds, "how many, counted up from the first");
+  app.add_option("--seconds", seconds, "of each run");
+  app.add_option("--nodes", options.nodes, "front nodes");
+  app.add_option("--keep", options.keep_logs_in, "folder for the logs of runs that failed");
+  CLI11_PARSE(app, argc, argv);
+  options.length = Span::millis(1000LL * seconds);
+  net::lift_descriptor_limit();
+  soak::PairCounts pairs;
+  std::uint64_t failed = 0;
+  double node_seconds = 0;
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    try {
+      const soak::Result result = soak::run(seed, options);
+      failed += !result.passed, node_seconds += result.node_seconds;
+      std::printf("%s", result.report.c_str());
+    } catch (const std::exception& problem) {
+      ++failed;
+      std::printf("seed %llu: FAILED; %s\n", static_cast<unsigned long long>(seed), problem.what());
+    }
+    std::fflush(stdout);
+    soak::count_pairs(soak::make_schedule(seed, options.nodes,
+                                          options.prefill_engines + options.decode_engines, options.length),
+                      pairs);
+  }
+  std::printf("%s%llu seeds, %.2f node hours\n%llu passed, %llu failed\n", soak::table_of(pairs).c_str(),
+              static_cast<unsigned long long>(seeds), node_seconds / 3600,
+              static_cast<unsigned long long>(seeds - failed), static_cast<unsigned long long>(failed));
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/soak/oracle.cpp
@@ -0,0 +1,254 @@
+#include "soak/oracle.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace calicograde::soak {
+namespace {
+
+struct Attempt {
+  std::size_t engine = 0;
+  std::uint64_t number = 0;
+  Role role = Role::Prefill;
+  Instant began;
+  std::optional<Instant> ended;
+  bool ran = false, broken = false;
+  std::string stream;
+};
+
+struct Request {
+  std::optional<RequestSent> sent;
+  std::optional<RequestEnded> ended;
+  std::vector<Attempt> attempts;
+  std::vector<std::pair<Instant, int>> holds;  // one more or one less is held
+};
+
+struct NodeLife {
+  Instant started;
+  std::optional<Instant> ready;
+  std::optional<NodeEnded> ended;
+};
+
+class Judge {
+ public:
+  Judge(const std::vector<Entry>& entries, const Limits& limits, Instant end) : limits_(limits), end_(end) {
+    for (const Entry& entry : entries) std::visit([this](const auto& e) { take(e); }, entry);
+  }
+
+  Verdict run() {
+    for (auto& [id, request] : requests_) judge_request(id, request);
+    for (const auto& [node, lives] : nodes_)
+      for (const NodeLife& life : lives) judge_life(node, life);
+    std::sort(verdict_.violations.begin(), verdict_.violations.end(),
+              [](const Violation& a, const Violation& b) { return a.at < b.at; });
+    return std::move(verdict_);
+  }
+
+ private:
+  void take(const RequestSent& e) { requests_[e.id].sent = e; }
+  void take(const RequestEnded& e) { requests_[e.id].ended = e; }
+  void take(const AttemptBegan& e) {
+    ++verdict_.attempts;
+    requests_[e.id].attempts.push_back({e.engine, e.attempt, e.role, e.at, {}, false, false, {}});
+  }
+  void take(const AttemptEnded& e) {
+    for (Attempt& a : requests_[e.id].attempts)
+      if (a.number == e.attempt) a.ended = e.at, a.ran = e.ran, a.broken = e.broken, a.stream = e.stream;
+  }
+  void take(const HoldBegan& e) { requests_[e.id].holds.emplace_back(e.at, 1); }
+  void take(const HoldEnded& e) { requests_[e.id].holds.emplace_back(e.at, -1); }
+  void take(const LifecycleTold& e) { told_[{e.node, e.engine}].push_back(e); }
+  void take(const NodeStarted& e) { nodes_[e.node].push_back({e.at, {}, {}}); }
+  void take(const NodeReady& e) { nodes_[e.node].back().ready = e.at; }
+  void take(const NodeEnded& e) { nodes_[e.node].back().ended = e; }
+
+  void violated(Rule rule, Instant at, const std::string& what) {
+    verdict_.violations.push_back({rule, at, what});
+  }
+
+  // The process that a request was sent to was killed while the request was open.
+  const NodeLife* life_at(std::size_t node, Instant at) const {
+    const NodeLife* found = nullptr;
+    const auto it = nodes_.find(node);
+    if (it == nodes_.end()) return nullptr;
+    for (const NodeLife& life : it->second)
+      if (life.started <= at) found = &life;
+    return found;
+  }
+  bool killed_meanwhile(const RequestSent& sent) const {
+    const NodeLife* life = life_at(sent.node, sent.at);
+    return !life || (life->ended && life->ended->how != NodeEnd::AfterSigterm);
+  }
+
+  void judge_request(const std::string& id, Request& r) {
+    if (!r.sent) {
+      // A request that never was whole must not be worked on.
+      if (!r.attempts.empty()) violated(Rule::Fabricated, r.attempts[0].began, id + ": no client sent it");
+      return;
+    }
+    if (r.ended) ++verdict_.answers[r.ended->kind];
+    judge_answer(id, r);
+    judge_effects(id, r);
+    judge_drain(id, r);
+    if (!killed_meanwhile(*r.sent)) judge_holds(id, r);
+  }
+
+  void judge_answer(const std::string& id, const Request& r) {
+    if (killed_meanwhile(*r.sent)) return;
+    if (!r.ended) return violated(Rule::Lost, r.sent->at, id + ": no end was seen");
+    const Instant at = r.ended->at;
+    switch (r.ended->kind) {
+      case AnswerKind::NoAnswer:
+        return violated(Rule::Lost, at, id + ": its connection ended with no answer");
+      case AnswerKind::Silence: return violated(Rule::Lost, at, id + ": no answer came");
+      case AnswerKind::NotReceived:
+        if (!r.attempts.empty())
+          violated(Rule::Lost, at, id + ": it was worked on, and its connection ended with no answer");
+        return;
+      case AnswerKind::ClientLeft: return judge_leaving(id, r);
+      case AnswerKind::CutStream: return judge_cut(id, r);
+      case AnswerKind::Stream: {
+        const bool made = std::any_of(r.attempts.begin(), r.attempts.end(), [&](const Attempt& a) {
+          return a.role == Role::Decode && !a.stream.empty() && a.stream == r.ended->body;
+        });
+        if (!made) violated(Rule::Fabricated, at, id + ": its stream is no engine's");
+        return;
+      }
+      default: break;
+    }
+    if (at > r.sent->deadline + limits_.late + limits_.scheduling)
+      violated(Rule::Lost, at, id + ": answered long after its deadline");
+  }
+
+  void judge_leaving(const std::string& id, const Request& r) {
+    for (const Attempt& a : r.attempts)
+      if (a.began > r.ended->at + limits_.begin_after_leave + limits_.scheduling)
+        violated(Rule::Lost, a.began, id + ": an attempt began after its client had left");
+  }
+
+  // A stream may break off where its engine broke it off.
+  void judge_cut(const std::string& id, const Request& r) {
+    const bool excused = std::any_of(r.attempts.begin(), r.attempts.end(), [&](const Attempt& a) {
+      return a.role == Role::Decode && (a.broken || !a.ended) && a.stream.starts_with(r.ended->body);
+    });
+    const bool link_broke =
+        std::any_of(limits_.broken_links.begin(), limits_.broken_links.end(), [&](const BrokenLinks& b) {
+          return b.node == r.sent->node && r.ended->at >= b.from &&
+                 r.ended->at <= b.until + limits_.scheduling;
+        });
+    if (!excused && !link_broke) violated(Rule::Lost, r.ended->at, id + ": its stream was cut off");
+  }
+
+  void judge_effects(const std::string& id, const Request& r) {
+    std::vector<const Attempt*> runs;
+    for (const Attempt& a : r.attempts)
+      if (a.role == Role::Decode && a.ran) runs.push_back(&a);
+    const bool refused = r.ended && r.ended->kind == AnswerKind::Refused;
+    if (r.sent->effect == Effect::NonRetriable) {
+      if (runs.size() > 1) violated(Rule::Duplicate, runs[1]->began, id + ": ran more than once");
+      if (refused && !runs.empty()) violated(Rule::Duplicate, r.ended->at, id + ": refused though it ran");
+    }
+    if (r.sent->effect == Effect::Deduped && runs.size() > 1 &&
+        runs.back()->began > runs.front()->began + limits_.dedupe_window + limits_.scheduling)
+      violated(Rule::Duplicate, runs.back()->began, id + ": ran again after engines had forgotten it");
+  }
+
+  // The moment from which an engine must get nothing more from this node, if there is one before `at`.
+  std::optional<Instant> drained_since(std::size_t node, std::size_t engine, Instant at) const {
+    const auto it = told_.find({node, engine});
+    if (it == told_.end()) return {};
+    std::uint64_t newest_ready = 0, newest = 0;
+    for (const LifecycleTold& told : it->second) {
+      if (told.at > at) continue;
+      newest = std::max(newest, told.version);
+      if (told.lifecycle == Lifecycle::Ready) newest_ready = std::max(newest_ready, told.version);
+    }
+    std::optional<Instant> since;
+    for (const LifecycleTold& told : it->second)
+      if (told.at <= at && newest > newest_ready && told.version > newest_ready &&
+          (!since || told.at < *since))
+        since = told.at;
+    return since;
+  }
+
+  void judge_drain(const std::string& id, const Request& r) {
+    for (const Attempt& a : r.attempts) {
+      const auto since = drained_since(r.sent->node, a.engine, a.began);
+      if (since && a.began > *since + limits_.drain_grace + limits_.drain_slack + limits_.scheduling)
+        violated(Rule::Drain, a.began,
+                 id + ": sent to engine " + std::to_string(a.engine) + " " +
+                     std::to_string((a.began - *since).as_millis()) + " ms after it was told to drain");
+    }
+  }
+
+  // The longest time for which something was held and no attempt was out.
+  void judge_holds(const std::string& id, Request& r) {
+    struct Change {
+      Instant at;
+      int held = 0, out = 0;
+    };
+    std::vector<Change> changes;
+    for (const auto& [at, by] : r.holds) changes.push_back({at, by, 0});
+    for (const Attempt& a : r.attempts) {
+      changes.push_back({a.began, 0, 1});
+      if (a.ended) changes.push_back({*a.ended, 0, -1});
+    }
+    std::stable_sort(changes.begin(), changes.end(),
+                     [](const Change& a, const Change& b) { return a.at < b.at; });
+    changes.push_back({end_, 0, 0});
+    int held = 0, out = 0;
+    std::optional<Instant> waits_since;
+    const Span most = limits_.pin_limit + limits_.pin_slack + limits_.scheduling;
+    for (const Change& c : changes) {
+      if (waits_since && c.at - *waits_since > most) {
+        violated(Rule::Pinned, c.at,
+                 id + ": something was held for " + std::to_string((c.at - *waits_since).as_millis()) +
+                     " ms with no attempt out");
+        return;
+      }
+      held += c.held, out += c.out;
+      if (held <= 0 || out > 0) waits_since.reset();
+      else if (!waits_since) waits_since = c.at;
+    }
+  }
+
+  void judge_life(std::size_t node, const NodeLife& life) {
+    const std::string name = "node " + std::to_string(node);
+    if (life.ended && life.ended->how == NodeEnd::Crashed)
+      violated(Rule::Crash, life.ended->at,
+               name + " ended by itself with " + std::to_string(life.ended->status));
+    if (life.ended && life.ended->how == NodeEnd::KilledAfterSigterm)
+      violated(Rule::Lost, life.ended->at, name + " had not ended long after SIGTERM");
+    constexpr Span ready_within = Span::millis(10000);
+    if (!life.ready && !life.ended && end_ - life.started > ready_within)
+      violated(Rule::Crash, end_, name + " did not become ready");
+  }
+
+  const Limits limits_;
+  const Instant end_;
+  std::map<std::string, Request> requests_;
+  std::map<std::pair<std::size_t, std::size_t>, std::vector<LifecycleTold>> told_;  // by node and engine
+  std::map<std::size_t, std::vector<NodeLife>> nodes_;
+  Verdict verdict_;
+};
+
+}  // namespace
+
+const char* name_of(Rule rule) {
+  switch (rule) {
+    case Rule::Lost: return "lost";
+    case Rule::Duplicate: return "duplicate";
+    case Rule::Drain: return "drain";
+    case Rule::Pinned: return "pinned";
+    case Rule::Crash: return "crash";
+    case Rule::Fabricated: return "fabricated";
+  }
+  return "?";
+}
+
+Verdict judge(const std::vector<Entry>& entries, const Limits& limits, Instant end) {
+  return Judge(entries, limits, end).run();
+}
+
+}  // namespace calicograde::soak
--- /dev/null
+++ b/src/soak/oracle.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "soak/journal.hpp"
+
+// Judges a soak run by what went over its sockets.
+namespace calicograde::soak {
+
+// The figures of the settings that the rules use, and what a busy machine is allowed on top.
+// While connections that a node made broke by themselves, a stream may break off with them.
+struct BrokenLinks {
+  std::size_t node = 0;
+  Instant from, until;
+};
+struct Limits {
+  Span pin_limit, drain_grace, dedupe_window;
+  Span late = Span::millis(500);        // an answer after its deadline that is late, not lost
+  Span pin_slack = Span::millis(300);   // of what is held
+  Span drain_slack = Span::millis(50);  // of a send to an engine that drains
+  Span begin_after_leave = Span::millis(100);
+  std::vector<BrokenLinks> broken_links;
+  Span scheduling = Span::millis(250);  // of the machine, on each of these
+};
+
+enum class Rule { Lost, Duplicate, Drain, Pinned, Crash, Fabricated };
+const char* name_of(Rule rule);
+struct Violation {
+  Rule rule = Rule::Lost;
+  Instant at;
+  std::string what;
+};
+
+struct Verdict {
+  std::vector<Violation> violations;
+  std::map<AnswerKind, int> answers;
+  int attempts = 0;
+};
+
+Verdict judge(const std::vector<Entry>& entries, const Limits& limits, Instant end);
+
+}  // namespace calicograde::soak
--- /dev/null
+++ b/src/soak/soak.cpp
@@ -0,0 +1,302 @@
+#include "soak/soak.hpp"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <sstream>
+#include <stdexcept>
+
+#include "net/clock.hpp"
+#include "soak/client.hpp"
+#include "soak/discovery.hpp"
+#include "soak/engines.hpp"
+#include "soak/node_process.hpp"
+#include "soak/oracle.hpp"
+
+namespace calicograde::soak {
+namespace {
+
+using net::clock_now;
+
+constexpr Span tick = Span::millis(10);
+constexpr Span ready_within = Span::millis(10000);
+constexpr Span settles_within = Span::millis(1500);  // what is held at the end is let go by then
+constexpr Span old_discovery_ends = Span::millis(1000);
+constexpr std::size_t idle_connections = 400;
+constexpr std::size_t most_violations_told = 12;
+
+// Lines by which a node reports a fault of its own.
+constexpr const char* own_faults[] = {"\"event\":\"rule violated\"",
+                                      "\"event\":\"module failed\"",
+                                      "\"event\":\"attempt failed\"",
+                                      "\"event\":\"job failed\"",
+                                      "\"event\":\"request failed\"",
+                                      "ERROR: AddressSanitizer",
+                                      "runtime error:",
+                                      "WARNING: ThreadSanitizer"};
+
+class Folder {
+ public:
+  Folder() {
+    std::string name = (std::filesystem::temp_directory_path() / "calicograde-soak-XXXXXX").string();
+    if (!mkdtemp(name.data())) throw std::runtime_error("cannot make a folder for the run");
+    path_ = name;
+  }
+  ~Folder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  const std::filesystem::path& path() const { return path_; }
+
+ private:
+  std::filesystem::path path_;
+};
+
+// One node with its two discovery agents, of which it follows one, and its clients.
+struct NodeSite {
+  NodeSite(std::size_t number, const NodeProgram& program, const EngineList& list, Journal& journal)
+      : process(number, program, journal), agents{{number, list, journal}, {number, list, journal}} {}
+  DiscoveryAgent& agent() { return agents[follows]; }
+  NodeProcess process;
+  DiscoveryAgent agents[2];
+  std::size_t follows = 0;
+  std::optional<Instant> moved;
+  std::vector<std::unique_ptr<SoakClient>> clients;
+  std::vector<net::Stream> idle;
+};
+
+class Run {
+ public:
+  Run(std::uint64_t seed, const Options& options)
+      : options_(options),
+        schedule_(make_schedule(seed, options.nodes, options.prefill_engines + options.decode_engines,
+                                options.length)),
+        held_(journal_),
+        program_{options.daemon, options.fault_library, folder_.path()} {
+    for (std::size_t k = 0; k < schedule_.engines; ++k) {
+      const Role role = k < options.prefill_engines ? Role::Prefill : Role::Decode;
+      engines_.push_back(std::make_unique<SoakEngine>(k, role, held_, journal_, attempts_));
+      list(k, Lifecycle::Ready, 0);
+    }
+    for (std::size_t k = 0; k < schedule_.nodes; ++k)
+      nodes_.push_back(std::make_unique<NodeSite>(k, program_, engine_list_, journal_));
+  }
+
+  Result play() {
+    start_nodes();
+    began_ = clock_now();
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+      for (std::size_t c = 0; c < options_.clients_each; ++c)
+        nodes_[n]->clients.push_back(std::make_unique<SoakClient>(
+            n * options_.clients_each + c, n, nodes_[n]->process, schedule_, began_, journal_));
+    std::vector<bool> on(schedule_.windows.size());
+    while (clock_now() - began_ < schedule_.length) {
+      const Span now = clock_now() - began_;
+      for (std::size_t k = 0; k < schedule_.windows.size(); ++k) {
+        const Window& w = schedule_.windows[k];
+        const bool holds = now >= w.from && now < w.until();
+        if (holds != on[k]) on[k] = holds, apply(w, holds);
+      }
+      look_after();
+      usleep(static_cast<useconds_t>(tick.as_micros()));
+    }
+    for (std::size_t k = 0; k < schedule_.windows.size(); ++k)
+      if (on[k]) apply(schedule_.windows[k], false);
+    return finish();
+  }
+
+ private:
+  void list(std::size_t engine, Lifecycle lifecycle, std::int64_t started_at_ms) {
+    const SoakEngine& e = *engines_[engine];
+    engine_list_.change(
+        engine,
+        {0, lifecycle, e.address(), e.role() == Role::Prefill ? "prefill" : "decode", started_at_ms, {}});
+  }
+
+  void start(std::size_t node, Span since_begin) {
+    NodeSite& site = *nodes_[node];
+    site.process.configure(site.agent().address(), site.agent().whole_list());
+    site.agent().node_starts();
+    site.process.start(schedule_.faults_of(node, since_begin));
+  }
+
+  void start_nodes() {
+    const Instant from = clock_now();
+    for (std::size_t n = 0; n < nodes_.size(); ++n) start(n, Span{});
+    const auto all_ready = [&] {
+      for (auto& site : nodes_) {
+        site->process.poll();
+        if (!site->process.address()) return false;
+      }
+      return true;
+    };
+    while (!all_ready()) {
+      if (clock_now() - from > ready_within)
+        throw std::runtime_error("the nodes did not become ready:\n" + nodes_[0]->process.log_text());
+      usleep(static_cast<useconds_t>(tick.as_micros()));
+    }
+  }
+
+  static std::int64_t wall_now_ms() {
+    timespec t{};
+    clock_gettime(CLOCK_REALTIME, &t);
+    return t.tv_sec * 1000LL + t.tv_nsec / 1000000;
+  }
+
+  void apply(const Window& w, bool begins) {
+    NodeSite& site = *nodes_[w.node];
+    SoakEngine& engine = *engines_[w.engine];
+    switch (w.trouble) {
+      case Trouble::Sigterm:
+        if (begins) site.process.terminate();
+        break;
+      case Trouble::Sigkill:
+        if (begins) site.process.kill();
+        break;
+      case Trouble::Sighup:
+        if (begins) move_discovery(site);
+        break;
+      case Trouble::EngineDrain: list(w.engine, begins ? Lifecycle::Draining : Lifecycle::Ready, 0); break;
+      case Trouble::EngineGone:
+        if (!begins) engine.restart();
+        list(w.engine, begins ? Lifecycle::Gone : Lifecycle::Ready, begins ? 0 : wall_now_ms());
+        break;
+      case Trouble::DiscoveryDown: site.agent().down(begins); break;
+      case Trouble::DiscoveryCrowded: site.agent().crowded(begins); break;
+      case Trouble::WatchSilent:
+        if (begins) site.agent().silence_watches();
+        break;
+      case Trouble::WatchReset:
+        if (begins) site.agent().reset_watches();
+        break;
+      case Trouble::LinkSilent: engine.mute_new_connections(begins); break;
+      case Trouble::EngineHang: engine.hang(begins); break;
+      case Trouble::EngineRestart:
+        if (begins) engine.restart(), list(w.engine, Lifecycle::Ready, wall_now_ms());
+        break;
+      case Trouble::AnswerCut: engine.cut_answers(begins); break;
+      case Trouble::AnswerDoubled: engine.double_answers(begins); break;
+      case Trouble::DescriptorsUsedUp: use_up_descriptors(site, begins); break;
+      default: break;  // those of clients and of the fault library go by the schedule itself
+    }
+  }
+
+  void move_discovery(NodeSite& site) {
+    if (site.moved) return;
+    site.moved = clock_now();
+    site.follows = 1 - site.follows;
+    site.agent().down(false);
+    site.process.configure(site.agent().address(), site.agent().whole_list());
+    site.process.hang_up();
+  }
+
+  void use_up_descriptors(NodeSite& site, bool begins) {
+    site.idle.clear();
+    const auto address = begins ? site.process.address() : std::nullopt;
+    for (std::size_t k = 0; address && k < idle_connections; ++k) {
+      auto [how, stream] = net::Stream::connect(*address, clock_now() + Span::millis(50));
+      if (how == net::ConnectEnd::Connected) site.idle.push_back(std::move(stream));
+    }
+  }
+
+  void look_after() {
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      NodeSite& site = *nodes_[n];
+      site.process.poll();
+      if (site.process.ended()) start(n, clock_now() - began_);
+      if (site.moved && clock_now() - *site.moved > old_discovery_ends) {
+        site.agents[1 - site.follows].down(true);
+        site.moved.reset();
+      }
+      site.agent().run_deadlines();
+    }
+  }
+
+  Result finish() {
+    for (auto& site : nodes_)
+      for (auto& client : site->clients) client->stop();
+    for (auto& site : nodes_) site->clients.clear();
+    const Instant quiet = clock_now();
+    while (clock_now() - quiet < settles_within) {
+      for (auto& site : nodes_) site->process.poll();
+      usleep(static_cast<useconds_t>(tick.as_micros()));
+    }
+    for (auto& site : nodes_) site->process.terminate();
+    for (auto& site : nodes_)
+      while (site->process.running()) site->process.poll(), usleep(static_cast<useconds_t>(tick.as_micros()));
+    const Instant end = clock_now();
+    Limits limits;
+    limits.pin_limit = Span::millis(500), limits.drain_grace = Span::millis(500);
+    limits.dedupe_window = Span::millis(1500);
+    for (const Window& w : schedule_.windows)
+      if (w.trouble == Trouble::LinkBroken)
+        limits.broken_links.push_back({w.node, began_ + w.from, began_ + w.until()});
+    const Verdict verdict = judge(journal_.all(), limits, end);
+    return report(verdict, own_faults_found(), (end - began_).seconds());
+  }
+
+  std::vector<std::string> own_faults_found() const {
+    std::vector<std::string> out;
+    for (const auto& site : nodes_) {
+      std::istringstream log(site->process.log_text());
+      for (std::string line; std::getline(log, line);)
+        for (const char* fault : own_faults)
+          if (line.find(fault) != std::string::npos) out.push_back(line);
+    }
+    return out;
+  }
+
+  Result report(const Verdict& verdict, const std::vector<std::string>& faults, double seconds) {
+    Result result;
+    result.passed = verdict.violations.empty() && faults.empty();
+    result.node_seconds = seconds * static_cast<double>(nodes_.size());
+    std::ostringstream out;
+    out << "seed " << schedule_.seed << ": " << (result.passed ? "passed" : "FAILED") << "; attempts "
+        << verdict.attempts;
+    for (const auto& [kind, count] : verdict.answers) out << ", " << name_of(kind) << " " << count;
+    out << "\n";
+    std::size_t told = 0;
+    for (const Violation& v : verdict.violations)
+      if (++told <= most_violations_told)
+        out << "  " << name_of(v.rule) << " at " << static_cast<long long>((v.at - began_).as_millis())
+            << " ms: " << v.what << "\n";
+    if (told > most_violations_told) out << "  and " << told - most_violations_told << " more\n";
+    for (std::size_t k = 0; k < faults.size() && k < most_violations_told; ++k)
+      out << "  log: " << faults[k] << "\n";
+    if (!result.passed) {
+      out << text_of(schedule_);
+      keep_logs(out);
+    }
+    result.report = out.str();
+    return result;
+  }
+
+  void keep_logs(std::ostringstream& out) const {
+    if (options_.keep_logs_in.empty()) return;
+    const auto to = std::filesystem::path(options_.keep_logs_in) / ("seed" + std::to_string(schedule_.seed));
+    std::error_code failed;
+    std::filesystem::create_directories(to, failed);
+    std::filesystem::copy(
+        folder_.path(), to,
+        std::filesystem::copy_options::overwrite_existing | std::filesystem::copy_options::recursive, failed);
+    out << "  logs: " << (failed ? failed.message() : to.string()) << "\n";
+  }
+
+  const Options options_;
+  const Schedule schedule_;
+  Folder folder_;
+  Journal journal_;
+  HeldState held_;
+  EngineList engine_list_;
+  std::atomic<std::uint64_t> attempts_ = 0;
+  const NodeProgram program_;
+  std::vector<std::unique_ptr<SoakEngine>> engines_;
+  std::vector<std::unique_ptr<NodeSite>> nodes_;
+  Instant began_;
+};
+
+}  // namespace
+
+Result run(std::uint64_t seed, const Options& options) { return Run(seed, options).play(); }
+
+}  // namespace calicograde::soak
