Interrupted calls go on; failures of this machine are a type of their own and retried

By id in the nodes' logs 'stream broke ... the engine broke off' with the engine's side whole, or 'client left' for a client that waited. net/socket.cpp: hung_up and stale took poll's -1 for an answer, Stream::read and write took ENOMEM and ENOBUFS for a broken connection, connect took a failed poll for a connection. front/lobby.cpp, hangups.cpp: run() returned for good on any epoll_wait error but EINTR; a connection that could not be watched was closed.

Change: one wait_ready() and one look(); net/local_error (EMFILE ENFILE ENOMEM ENOBUFS EADDRNOTAVAIL ... apart from the engine's errors), retried 40 ms on the spot, then SendEnded LocalFailure: the module sends again a tick later (longer each time), counts no send and doubts nobody. ENETUNREACH/EHOSTUNREACH are tried again for the connect time-out. accept pauses on ENOBUFS/ENOMEM, and gives out who waits after a stop in spite of them.

--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -28,11 +28,25 @@
 enum class DedupeGroup { All, Zone, Rack };
 enum class Lifecycle { Ready, Draining, Gone };
 enum class ListScope { Delta, Full, Cached, Failed };
-enum class EndedAs { Completed, Errored, Full, TimedOut, ConnectFailed, Reset, Cancelled, Moot, ReadDone };
+// LocalFailure: this machine lacked a thread, a descriptor, memory or a port; nothing was sent, and it says nothing
+// of the engine. Moot: there was no use in sending it any more.
+enum class EndedAs {
+  Completed,
+  Errored,
+  Full,
+  TimedOut,
+  ConnectFailed,
+  Reset,
+  Cancelled,
+  Moot,
+  ReadDone,
+  LocalFailure
+};
 
 // Proven by how a send ended, whatever engine it went to.
 constexpr bool proves_unrun(EndedAs e) {
-  return e == EndedAs::Full || e == EndedAs::ConnectFailed || e == EndedAs::Moot || e == EndedAs::ReadDone;
+  return e == EndedAs::Full || e == EndedAs::ConnectFailed || e == EndedAs::Moot || e == EndedAs::ReadDone ||
+         e == EndedAs::LocalFailure;
 }
 
 // Settings, as handed over at start.
@@ -141,6 +155,7 @@
   std::optional<LoadReport> report;
   bool on_kept_link = false;  // it went on a connection that had been used before
   bool written = true;        // false: its last byte was not written, so that no engine can have begun it
+  bool arrived = true;        // false: it was written, but nothing shows that its last byte reached the engine
 };
 struct ClientLeft {
   InfId inf = 0;
--- a/src/engines/completions.cpp
+++ b/src/engines/completions.cpp
@@ -284,9 +284,10 @@
 
 Judged judge(Leg leg, const SendFacts& f) {
   using C = SendFacts::Connect;
-  if (f.not_sent || f.connect == C::NoDescriptor) return {EndedAs::Moot};
+  if (f.not_sent) return {EndedAs::Moot};
   // A send that was called off before one byte was written ran nowhere, yet the module asked for the cancel.
   if (f.cancelled) return {EndedAs::Cancelled};
+  if (f.connect == C::Local) return {EndedAs::LocalFailure};
   if (f.connect != C::Connected || (!f.any_written && !f.timed_out)) return {EndedAs::ConnectFailed};
   if (f.timed_out) return {EndedAs::TimedOut};
   if (f.status == 0) return {EndedAs::Reset};
--- a/src/engines/completions.hpp
+++ b/src/engines/completions.hpp
@@ -70,11 +70,12 @@
 
 // Everything about how a send went on its socket that its outcome is judged by.
 struct SendFacts {
-  enum class Connect { Connected, Refused, TimedOut, Unreachable, NoDescriptor } connect = Connect::Connected;
+  enum class Connect { Connected, Refused, TimedOut, Unreachable, Local } connect = Connect::Connected;
   bool cancelled = false;    // this front called it off
   bool not_sent = false;     // no thread or no time was left to send it
   bool any_written = false;  // one byte or more may have reached the engine
   bool asked_whole = false;  // its last byte was written
+  bool arrived = false;      // the engine's machine has all of it, as its answer or its kernel shows
   bool timed_out = false;    // the send's time ended while waiting
   int status = 0;            // 0 = no answer's head came
   std::string error_code;    // of the answer's error body
--- a/src/faults/fault_library.cpp
+++ b/src/faults/fault_library.cpp
@@ -268,7 +268,12 @@
 }
 
 int connect(int fd, const sockaddr* address, socklen_t size) {
-  REAL_OR_ORDERED(connect);
+  REAL(connect);
+  static const std::size_t number = number_of("connect");
+  const int ordered = ordered_error(number);
+  // Interrupted, a connection goes on to be made.
+  if (ordered == EINTR) real_connect(fd, address, size);
+  if (ordered != 0) return fail_with(ordered);
   constexpr int errors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EHOSTUNREACH};
   if (strikes(Kind::Connect)) return fail_with(one_of(errors));
   const int done = real_connect(fd, address, size);
@@ -278,7 +283,6 @@
     connects_at[fd] = monotonic_micros() + latest_connect_micros / 2 + draw() % (latest_connect_micros / 2);
     return fail_with(EINPROGRESS);
   }
-  // Interrupted: the connection goes on to be made.
   if (strikes(Kind::Eintr)) return fail_with(EINTR);
   return done == 0 ? 0 : fail_with(EINPROGRESS);
 }
--- a/src/faults/fault_library.hpp
+++ b/src/faults/fault_library.hpp
@@ -3,7 +3,8 @@
 // For tests that are linked with the fault library: single system calls of this process that fail.
 namespace calicograde::faults {
 
-// The next `times` calls of that name, on any thread, fail with `error` (an errno value) and have no effect.
+// The next `times` calls of that name, on any thread, fail with `error` (an errno value) and have no effect
+// (but for a connect that is interrupted, which goes on).
 // Known names: poll, epoll_wait, epoll_ctl, socket, accept4, connect, recv, send, read, write, fsync,
 // fdatasync, renameat, rename, opendir.
 void fail_next(const char* call, int error, int times);
--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -104,8 +104,8 @@
   // A place at the engine that failed or refused is not relied on any more.
   if (s.leg != Leg::Read && e.as != EndedAs::Completed)
     release(*c, [&](const Holding& h) { return h.place && h.engine == s.engine; });
-  const SendEnded event{inf,        send,     s.engine,        e.as,     now - s.at, over, e.kept_tokens,
-                        e.no_state, e.report, e.link_uses > 1, e.written};
+  const SendEnded event{inf,        send,     s.engine,        e.as,      now - s.at, over, e.kept_tokens,
+                        e.no_state, e.report, e.link_uses > 1, e.written, e.arrived};
   if (over) settle(inf);
   return event;
 }
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -73,6 +73,7 @@
   std::uint32_t kept_tokens = 0;
   bool kept_told = false;
   bool written = true;              // as in SendEnded
+  bool arrived = true;              // as in SendEnded
   bool refused_link = false;        // nothing listens there
   std::size_t link_uses = 0;        // of the connection that it went on, itself included; 0 = none came about
   Span link_stood = {}, took = {};  // since that was asked last before; from the connection to the end
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <cstring>
 #include <deque>
 #include <map>
 #include <random>
@@ -23,6 +24,7 @@
 #include "front/workers.hpp"
 #include "membership/membership.hpp"
 #include "net/clock.hpp"
+#include "net/local_error.hpp"
 #include "net/thread.hpp"
 #include "prefix/knowledge.hpp"
 #include "roster/roster.hpp"
@@ -48,6 +50,7 @@
 constexpr std::size_t runs_a_slice = 256;  // of an index, copied out between two events
 // Of one engine, before the next is asked: 99 in 100 answer within 9 ms on days at the brink, the rest never.
 constexpr Span release_answer = Span::millis(25);
+constexpr Span local_retry_within = Span::millis(40);
 constexpr std::size_t errands_waiting = 65536;
 
 // What a send's end says of its engine's hall. Silence counts where not even a connection came about: a hall
@@ -63,6 +66,10 @@
   }
 }
 
+bool tells_of_engine(EndedAs as) {
+  return as != EndedAs::Cancelled && as != EndedAs::Moot && as != EndedAs::LocalFailure;
+}
+
 const char* word(EndedAs as) {
   switch (as) {
     case EndedAs::Completed: return "completed";
@@ -73,6 +80,7 @@
     case EndedAs::Reset: return "reset";
     case EndedAs::Cancelled: return "cancelled";
     case EndedAs::Moot: return "moot";
+    case EndedAs::LocalFailure: return "local failure";
     case EndedAs::ReadDone: return "read done";
   }
   return "?";
@@ -669,7 +677,7 @@
       if (!at) return;
       const auto how = net::Stream::connect(*at, clock_now() + p.settings.connect).first;
       using N = net::ConnectEnd;
-      if (how == N::NoDescriptor) return;
+      if (how == N::Local) return;
       queue.put({p.index, Looked{engine, how == N::Connected ? halls::Sign::Answered
                                          : how == N::Refused ? halls::Sign::Refused
                                                              : halls::Sign::Silent}});
@@ -699,7 +707,7 @@
       log_end(p, *e);
       if (const auto engine = p.cases.engine_of(e->inf, e->send)) {
         if (e->ending.refused_link) p.knowledge.refused(*engine);
-        if (e->ending.as != EndedAs::Cancelled && e->ending.as != EndedAs::Moot)
+        if (tells_of_engine(e->ending.as))
           judge_halls(p, now, p.halls.met(now, *engine, sign_of(e->ending.as, e->ending.refused_link)));
         if (e->ending.as == EndedAs::ReadDone)
           p.knowledge.read(e->inf, *engine,
@@ -767,8 +775,8 @@
       if (auto* s = std::get_if<StartSend>(&order)) {
         p.bounds.sent(now, s->inf, s->engine);
         if (!start_send(p, *s))
-          if (auto e =
-                  p.cases.ended(now, s->inf, s->send, Ending{.as = EndedAs::Moot, .state = {}, .report = {}});
+          if (auto e = p.cases.ended(now, s->inf, s->send,
+                                     Ending{.as = EndedAs::LocalFailure, .state = {}, .report = {}});
               e && events)
             events->push_back(*e);
       } else if (const auto* x = std::get_if<StopSend>(&order)) {
@@ -852,23 +860,36 @@
     return connect_to(p, at, until, facts);
   }
 
-  static std::optional<http::ClientConnection> connect_to(PoolParts& p, const net::Address& at, Instant until,
-                                                          SendFacts& facts) {
+  // A new connection. Failures of this machine are tried again for a moment, and then told to the module, which
+  // decides anew; a network that says that the engine can't be reached is asked again for as long as a connection
+  // may take: a route may be missing for a moment.
+  std::optional<http::ClientConnection> connect_to(PoolParts& p, const net::Address& at, Instant until,
+                                                   SendFacts& facts) {
     using N = net::ConnectEnd;
-    const auto connect = [&] {
-      return net::Stream::connect(at, std::min(until, clock_now() + p.settings.connect));
-    };
-    auto [how, stream] = connect();
-    // Idle links go before a send does.
-    if (how == N::NoDescriptor && p.links.drop_oldest()) std::tie(how, stream) = connect();
-    using C = SendFacts::Connect;
-    facts.connect = how == N::Connected      ? C::Connected
-                    : how == N::Refused      ? C::Refused
-                    : how == N::TimedOut     ? C::TimedOut
-                    : how == N::NoDescriptor ? C::NoDescriptor
-                                             : C::Unreachable;
-    if (how != N::Connected) return std::nullopt;
-    return http::ClientConnection(std::move(stream));
+    const Instant begun = clock_now();
+    net::LocalRetry local(std::min(until, begun + local_retry_within));
+    net::LocalRetry unreachable(std::min(until, begun + p.settings.connect));
+    for (;;) {
+      auto [how, stream] = net::Stream::connect(at, std::min(until, clock_now() + p.settings.connect));
+      facts.connect = facts_of(how);
+      if (how == N::Connected) return http::ClientConnection(std::move(stream));
+      // Idle links go before a send does.
+      if (how == N::Local && p.links.drop_oldest()) continue;
+      if (how == N::Local && !stopping && local.pause()) continue;
+      if (how == N::Unreachable && !stopping && unreachable.pause()) continue;
+      return std::nullopt;
+    }
+  }
+
+  static SendFacts::Connect facts_of(net::ConnectEnd how) {
+    switch (how) {
+      case net::ConnectEnd::Connected: return SendFacts::Connect::Connected;
+      case net::ConnectEnd::Refused: return SendFacts::Connect::Refused;
+      case net::ConnectEnd::TimedOut: return SendFacts::Connect::TimedOut;
+      case net::ConnectEnd::Local: return SendFacts::Connect::Local;
+      case net::ConnectEnd::Unreachable: break;
+    }
+    return SendFacts::Connect::Unreachable;
   }
 
   // A connection on which the attempt may be written at once, once no release of its inference is on its way.
@@ -907,7 +928,7 @@
     const auto judged =
         turned_away && !facts.cancelled ? engines::Judged{EndedAs::Full} : p.dialect->judge(s.leg, facts);
     ending.as = judged.as, ending.no_state = judged.no_state;
-    ending.written = facts.asked_whole;
+    ending.written = facts.asked_whole, ending.arrived = facts.arrived;
     ending.refused_link = facts.connect == SendFacts::Connect::Refused;
     if (s.leg != Leg::Read && (proves_unrun(judged.as) || !facts.asked_whole)) ticket.write_unrun();
     if (judged.refused)
@@ -939,7 +960,9 @@
     if (demand != Ticket::Demand::Waiting || clock_now() >= s.write_by) {
       facts.not_sent = demand == Ticket::Demand::ClientGone;
       facts.cancelled = demand == Ticket::Demand::Answered;
-      facts.connect = SendFacts::Connect::TimedOut;  // else
+      // On a kept link it was this machine that came too late.
+      const bool kept_link = link.uses() > 0;
+      facts.connect = kept_link ? SendFacts::Connect::Local : SendFacts::Connect::TimedOut;
       if (control.detach()) p.links.give_back(at, std::move(link));
       return false;
     }
@@ -958,6 +981,7 @@
     http::Response head;
     BodyEnd end = link.read_head(head, s.until);
     facts.garbled = link.garbled();
+    facts.arrived = end == BodyEnd::Done || link.stream().acknowledged();
     if (end != BodyEnd::Done) return facts.timed_out = end == BodyEnd::TimedOut, false;
     p.dialect->head(head, facts, ending);
     if (p.dialect->streams(s.leg, head)) return begin_stream(p, s, ticket, control, at, link, facts);
@@ -1340,7 +1364,9 @@
            std::vector<std::shared_ptr<const Dialect>> dialects)
     : settings_(settings),
       log_(log),
-      hangups_(std::make_unique<Hangups>()),
+      hangups_(std::make_unique<Hangups>([&log](int error) {
+        log.line(Level::Error, "wait for hang-ups failed", {{"what", std::strerror(error)}});
+      })),
       inside_(std::make_unique<Inside>(*this, settings_, std::move(dialects))) {}
 
 Core::~Core() {
--- a/src/front/hangups.cpp
+++ b/src/front/hangups.cpp
@@ -1,22 +1,27 @@
 #include "front/hangups.hpp"
 
 #include <sys/epoll.h>
+#include <unistd.h>
 
 #include <cerrno>
-#include <stdexcept>
+
+#include "net/local_error.hpp"
 
 namespace calicograde::front {
 
 namespace {
 constexpr std::uint64_t stop_number = 0;  // watches count from 1
+constexpr Span after_failed_wait = Span::millis(10);
 }  // namespace
 
-Hangups::Hangups(std::function<void()> before_telling)
-    : epoll_(::epoll_create1(EPOLL_CLOEXEC)), before_telling_(std::move(before_telling)) {
+Hangups::Hangups(std::function<void(int)> wait_failed, std::function<void()> before_telling)
+    : epoll_(::epoll_create1(EPOLL_CLOEXEC)),
+      wait_failed_(std::move(wait_failed)),
+      before_telling_(std::move(before_telling)) {
   epoll_event e{};
   e.events = EPOLLIN, e.data.u64 = stop_number;
   if (!epoll_ || !stop_.ok() || ::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, stop_.fd(), &e) != 0)
-    throw std::runtime_error("cannot watch clients: no descriptor is left");
+    throw net::LocalError("cannot watch clients: no descriptor is left");
   thread_ = std::thread([this] { run(); });
 }
 
@@ -29,7 +34,10 @@
   for (;;) {
     epoll_event come[16];
     const int n = ::epoll_wait(epoll_.get(), come, 16, -1);
-    if (n < 0 && errno != EINTR) return;
+    if (n < 0 && errno != EINTR) {
+      if (wait_failed_) wait_failed_(errno);
+      ::usleep(static_cast<useconds_t>(after_failed_wait.as_micros()));
+    }
     for (int k = 0; k < n; ++k) {
       if (come[k].data.u64 == stop_number) return;
       if (before_telling_) before_telling_();
--- a/src/front/hangups.hpp
+++ b/src/front/hangups.hpp
@@ -17,8 +17,9 @@
 class Hangups {
  public:
   // `before_telling`, for tests: called between hearing of a hang-up and telling its ticket. Throws
-  // std::runtime_error where descriptors have run out.
-  explicit Hangups(std::function<void()> before_telling = {});
+  // net::LocalError where descriptors have run out. `wait_failed` is told each errno value with which a wait
+  // failed; the wait is made again.
+  explicit Hangups(std::function<void(int)> wait_failed = {}, std::function<void()> before_telling = {});
   ~Hangups();
   // While it lives; ended before the client's connection is.
   class Watch {
@@ -38,6 +39,7 @@
   void run();
   const net::Fd epoll_;
   const net::Wake stop_;
+  const std::function<void(int)> wait_failed_;
   const std::function<void()> before_telling_;
   std::mutex mutex_;
   // By a number that is never used again. Guards against a hang-up that is heard of while its watch ends: its
--- a/src/front/lobby.cpp
+++ b/src/front/lobby.cpp
@@ -1,6 +1,7 @@
 #include "front/lobby.hpp"
 
 #include <sys/epoll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "net/clock.hpp"
+#include "net/local_error.hpp"
 
 namespace calicograde::front {
 namespace {
@@ -20,18 +22,29 @@
 constexpr Span leave_within = Span::millis(1000);
 constexpr std::uint64_t wake_number = 0;  // seats count from 1
 
+constexpr int most_tries = 3;  // to watch one, where memory is short
+constexpr Span after_failed_wait = Span::millis(10);
+
 bool watch(const net::Fd& epoll, int fd, std::uint64_t number) {
   epoll_event e{};
   e.events = EPOLLIN | EPOLLRDHUP, e.data.u64 = number;
-  return ::epoll_ctl(epoll.get(), EPOLL_CTL_ADD, fd, &e) == 0;
+  for (int k = 0; k < most_tries; ++k) {
+    if (::epoll_ctl(epoll.get(), EPOLL_CTL_ADD, fd, &e) == 0) return true;
+    if (errno != ENOMEM && errno != ENOSPC) return false;
+  }
+  return false;
 }
 
 }  // namespace
 
-Lobby::Lobby(std::function<void(Shared)> comes, std::size_t most_leaving)
-    : comes_(std::move(comes)), most_leaving_(most_leaving), epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+Lobby::Lobby(std::function<void(Shared)> comes, std::size_t most_leaving,
+             std::function<void(int)> wait_failed)
+    : comes_(std::move(comes)),
+      wait_failed_(std::move(wait_failed)),
+      most_leaving_(most_leaving),
+      epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
   if (!epoll_ || !wake_.ok() || !watch(epoll_, wake_.fd(), wake_number))
-    throw std::runtime_error("cannot watch connections: no descriptor is left");
+    throw net::LocalError("cannot watch connections: no descriptor is left");
   thread_ = std::thread([this] { run(); });
 }
 
@@ -49,8 +62,21 @@
 
 void Lobby::add(Shared guest, bool leaving) {
   std::vector<Shared> gone;  // ends after the lock does
-  const std::lock_guard lock(mutex_);
-  seat(std::move(guest), leaving, gone);
+  {
+    const std::lock_guard lock(mutex_);
+    seat(std::move(guest), leaving, gone);
+  }
+  hand_on_unwatched();
+}
+
+// Memory may be short for a moment, and the next request be on its way: a thread waits for that one alone.
+void Lobby::hand_on_unwatched() {
+  std::vector<Shared> unwatched;
+  {
+    const std::lock_guard lock(mutex_);
+    unwatched.swap(unwatched_);
+  }
+  for (auto& guest : unwatched) comes_(std::move(guest));
 }
 
 void Lobby::seat(Shared guest, bool leaving, std::vector<Shared>& gone) {
@@ -59,8 +85,10 @@
   const Instant until = leaving ? now + leave_within : guest->connection.idle_until();
   if (leaving) guest->connection.end_answers(), guest->place.reset();
   const std::uint64_t number = ++numbers_;
-  // Where it can't be watched it is closed.
-  if (!watch(epoll_, guest->connection.stream().fd(), number)) return gone.push_back(std::move(guest));
+  if (!watch(epoll_, guest->connection.stream().fd(), number)) {
+    if (leaving) guest->connection.drop_some();  // at least what is here already
+    return (leaving ? gone : unwatched_).push_back(std::move(guest));
+  }
   seats_.emplace(number, Seat{std::move(guest), leaving, now, until});
   if (leaving) leaving_.insert(number);
   const auto end = ends_.emplace(until, number).first;
@@ -132,7 +160,10 @@
   for (int wait_millis = -1;;) {
     epoll_event come[64];
     const int n = ::epoll_wait(epoll_.get(), come, 64, wait_millis);
-    if (n < 0 && errno != EINTR) return;
+    if (n < 0 && errno != EINTR) {
+      if (wait_failed_) wait_failed_(errno);
+      ::usleep(static_cast<useconds_t>(after_failed_wait.as_micros()));
+    }
     std::vector<Shared> begun, gone;
     {
       const std::lock_guard lock(mutex_);
@@ -150,6 +181,7 @@
       wait_millis = static_cast<int>(std::clamp(left.as_millis(), 0.0, 60000.0)) + 1;
     }
     for (auto& guest : begun) comes_(std::move(guest));
+    hand_on_unwatched();
   }
 }
 
--- a/src/front/lobby.hpp
+++ b/src/front/lobby.hpp
@@ -36,8 +36,10 @@
 
   // `comes` is told, on the lobby's thread, whose next request has begun to come. At most `most_leaving`
   // connections that were given their last answer are kept for their clients to close. Throws
-  // std::runtime_error where descriptors have run out.
-  explicit Lobby(std::function<void(Shared)> comes, std::size_t most_leaving = 64);
+  // net::LocalError where descriptors have run out. `wait_failed` is told each errno value with which a wait
+  // for all of them failed; the wait is made again.
+  explicit Lobby(std::function<void(Shared)> comes, std::size_t most_leaving = 64,
+                 std::function<void(int)> wait_failed = {});
   ~Lobby();
   // Until its next request, or for as long as it may be idle.
   void wait(Shared guest);
@@ -65,7 +67,10 @@
   void run();
   void end_overdue(std::vector<Shared>& gone);
 
+  void hand_on_unwatched();
+
   const std::function<void(Shared)> comes_;
+  const std::function<void(int)> wait_failed_;
   const std::size_t most_leaving_;
   const net::Fd epoll_;
   const net::Wake wake_;
@@ -73,6 +78,7 @@
   Seats seats_;  // in the order in which they came
   std::set<std::pair<Instant, std::uint64_t>> ends_;
   std::set<std::uint64_t> leaving_;  // in the order in which they began to leave
+  std::vector<Shared> unwatched_;    // could not be watched for now: each gets a thread at once
   std::condition_variable emptied_;
   std::uint64_t numbers_ = 0;
   bool closed_ = false, ending_ = false;
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstring>
 #include <random>
 
 #include "net/clock.hpp"
@@ -16,6 +17,13 @@
     "content-length: 98\r\n\r\n"
     R"({"type":"error","error":{"type":"overloaded_error","message":"too many connections at this front"}})";
 
+// A wait for clients that fails is no reason to serve nobody: it is told and made again.
+std::function<void(int)> log_failed_wait(Core& core) {
+  return [&core](int error) {
+    core.log().line(log::Level::Error, "wait for clients failed", {{"what", std::strerror(error)}});
+  };
+}
+
 constexpr Span accepted_after_stop = Span::millis(100);
 
 // Connections that were answered and are left to their clients to close, beside those that are open.
@@ -30,7 +38,7 @@
       listen_(core.settings().listen),
       most_(core.settings().connections),
       protocols_(std::move(protocols)),
-      lobby_([this](const Lobby::Shared& guest) { begin(guest); }, leaving_of(most_)) {
+      lobby_([this](const Lobby::Shared& guest) { begin(guest); }, leaving_of(most_), log_failed_wait(core)) {
   std::random_device chance;
   char stamp[16];
   std::snprintf(stamp, sizeof stamp, "%08x", chance());
@@ -45,7 +53,8 @@
       most_(connections),
       protocols_(std::move(protocols)),
       stamp_("admin"),
-      lobby_([this](const Lobby::Shared& guest) { begin(guest); }, leaving_of(most_)) {}
+      lobby_([this](const Lobby::Shared& guest) { begin(guest); }, leaving_of(most_), log_failed_wait(core)) {
+}
 
 std::size_t Server::in_work() const {
   std::size_t n = 0;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -50,10 +50,13 @@
 // The first address of a host name as a literal; none if it has none. Needs a stack of 256 KiB or more.
 std::optional<Address> resolve(const Address& address);
 
-enum class ConnectEnd { Connected, Refused, TimedOut, Unreachable, NoDescriptor };
+// Unreachable: the network between says so, or a route is missing; Local: this machine lacks a descriptor,
+// memory, buffers or a local port (net/local_error.hpp), and nothing was sent.
+enum class ConnectEnd { Connected, Refused, TimedOut, Unreachable, Local };
 
 // A blocking byte stream whose every wait ends at a deadline. Meets Boost.Beast's SyncReadStream and
 // SyncWriteStream. Errors: asio's timed_out, eof, connection_reset, operation_aborted (the watched one left).
+// Calls that are interrupted or lack memory are made again until the deadline.
 class Stream {
  public:
   Stream() = default;
@@ -74,12 +77,15 @@
   void reset_hard();
   // From any thread that keeps the stream alive: wakes whoever waits on it.
   void shut() const;
-  // Whether the other side closed an idle connection or sent what nobody asked for, or does so before `until`.
+  // Whether the other side closed an idle connection or sent what nobody asked for, or does so before
+  // `until`.
   bool stale(Instant until = {}) const;
   // Ended by the peer or broken, with nothing left to read.
   bool ended() const;
   // Whether the other side has closed its end; what it sent before may still be unread.
   bool peer_left() const;
+  // Whether the other side's machine has acknowledged all that was written; false where it can't be told.
+  bool acknowledged() const;
   std::size_t bytes_read() const { return bytes_read_; }
   std::size_t bytes_written() const { return bytes_written_; }
 
@@ -123,7 +129,8 @@
   std::size_t bytes_read_ = 0, bytes_written_ = 0;
 };
 
-// A descriptor held in reserve, so that what must go on can go on where all others are taken. Not thread-safe.
+// A descriptor held in reserve, so that what must go on can go on where all others are taken. Not
+// thread-safe.
 class SpareDescriptor {
  public:
   SpareDescriptor() { refill(); }
@@ -136,7 +143,7 @@
 };
 
 // A listening socket on an address; port 0 lets the kernel choose. Throws std::runtime_error with the address
-// and the cause.
+// and the cause; a LocalError where trying again may help.
 class Listener {
  public:
   explicit Listener(const Address& at, int backlog = 4096);
@@ -171,7 +178,8 @@
   Fd fd_;
 };
 
-// Whether the peer behind a connected descriptor has closed its end.
+// Whether the peer behind a connected descriptor has closed its end; false where the kernel can't tell for
+// now.
 bool hung_up(int fd);
 
 enum class Waited { Woken, PeerLeft, TimedOut };
--- a/src/node/dialect.cpp
+++ b/src/node/dialect.cpp
@@ -54,10 +54,9 @@
   engines::Judged judge(Leg leg, const SendFacts& f) const override {
     using C = SendFacts::Connect;
     platform::Facts facts;
-    facts.connect =
-        f.connect == C::Connected ? platform::Facts::Connect::Connected : platform::Facts::Connect::Failed;
-    // A descriptor that this front lacks says nothing of the engine.
-    facts.not_sent = f.not_sent || f.connect == C::NoDescriptor;
+    using To = platform::Facts::Connect;
+    facts.connect = f.connect == C::Connected ? To::Connected : f.connect == C::Local ? To::Local : To::Failed;
+    facts.not_sent = f.not_sent;
     facts.cancelled = f.cancelled, facts.asked_whole = f.asked_whole, facts.timed_out = f.timed_out;
     facts.status = f.status, facts.not_started = f.not_started, facts.body_whole = f.body_whole;
     facts.garbled = f.garbled || !f.understood;
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -80,7 +80,7 @@
 bool Follower::watch(const net::Address& at) {
   spare_.refill();
   auto [how, stream] = net::Stream::connect(at, clock_now() + rules_.connect);
-  if (how == net::ConnectEnd::NoDescriptor && spare_.release())
+  if (how == net::ConnectEnd::Local && spare_.release())
     std::tie(how, stream) = net::Stream::connect(at, clock_now() + rules_.connect);
   if (how != net::ConnectEnd::Connected)
     return core_.log().line(Level::Warn, "registry not reached", {{"at", net::text_of(at)}}), false;
--- a/src/platform/outcomes.cpp
+++ b/src/platform/outcomes.cpp
@@ -10,6 +10,7 @@
   using E = EndedAs;
   if (f.not_sent) return {E::Moot};
   if (f.cancelled) return {E::Cancelled};
+  if (f.connect == Facts::Connect::Local) return {E::LocalFailure};
   if (f.connect == Facts::Connect::Failed) return {E::ConnectFailed};
   // An engine begins with the last byte: without it, it cannot have.
   if (!f.asked_whole) return {f.timed_out ? E::TimedOut : E::ConnectFailed};
--- a/src/platform/outcomes.hpp
+++ b/src/platform/outcomes.hpp
@@ -11,7 +11,7 @@
 
 // How a send went on its socket.
 struct Facts {
-  enum class Connect { Connected, Failed } connect = Connect::Connected;
+  enum class Connect { Connected, Failed, Local } connect = Connect::Connected;
   bool cancelled = false;    // this front called it off
   bool not_sent = false;     // no time or no room was left to send it
   bool asked_whole = false;  // its last byte was written
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -36,6 +36,7 @@
 constexpr std::size_t siblings_kept = 1024, siblings_each = 64;  // in all, and booked anew at each arrival
 constexpr std::size_t texts_seen = 32;
 constexpr int places_asked = 10;
+constexpr int local_doublings = 4;  // of the pause after a failure of this machine, from one tick
 constexpr double homes_a_text = 1.5;  // times the readers that its share of the arrivals would fill
 constexpr double close_for = 40;      // times what a full answer took: asking again costs as much again
 constexpr double read_weight = 5, mixed_weight = 5;  // of tokens still to read; of reads beside answers
@@ -158,7 +159,7 @@
     if (Engine* eng = engine(s->engine)) {
       --eng->out;
       if (e.as == EndedAs::ConnectFailed) links_.add(now_, e.elapsed.seconds() * 2);
-      if (e.as != EndedAs::Moot)
+      if (e.as != EndedAs::Moot && e.as != EndedAs::LocalFailure)
         eng->linked_until = e.as == EndedAs::ConnectFailed || !e.written ? now_ : now_ + s_.link_idle;
       judge(s->engine, *eng, *f, *s, e);
       eng->awaited.erase({e.inf, e.send});
@@ -171,10 +172,11 @@
       return ended_.push_back(e.inf);
     }
     if (f->phase == Phase::Streaming) return;
-    // A send that reached nobody was never out: what is held has been waiting all along.
-    if (e.as != EndedAs::ConnectFailed && e.written && !link_was_broken(e)) f->held_since = now_;
+    // A send that reached nobody, or is not known to have, was never out: what is held has waited all along.
+    if (e.as != EndedAs::ConnectFailed && e.written && e.arrived && !link_was_broken(e)) f->held_since = now_;
     if (e.as == EndedAs::ReadDone) read_done(*f, *s, e);
     else if (e.as == EndedAs::Moot) finish(*f);
+    else if (e.as == EndedAs::LocalFailure) send_later(*f, *s);
     else send_failed(*f, *s, e);
   }
 
@@ -232,7 +234,7 @@
       const Span need = needed(f);
       if (!may_send(f)) give_up_if_idle(f);
       else if (f.ends - now_ <= (f.ends < f.target ? needed(f, 1) : need) + answer_margin) finish(f, true);
-      if (f.phase != Phase::Waiting || !may_send(f)) continue;
+      if (f.phase != Phase::Waiting || !may_send(f) || now_ < f.not_before) continue;
       if (held.size() < 3 && book(f)) continue;  // a few smaller ones may pass a large one; no more
       held.push_back(&f);
       if (now_ + need > f.target) late.push_back(&f);
@@ -401,6 +403,17 @@
     else back_to_queue(f);
   }
 
+  // This machine could not send it: tried again a little later, longer after each time; no engine is at fault.
+  void send_later(Inference& f, const Send& s) {
+    const int doublings = std::min(f.local_failures++, local_doublings);
+    f.not_before = now_ + tick * static_cast<double>(1 << doublings);
+    if (s.to_reader && f.phase == Phase::Reading && !f.out_at(true)) return back_to_queue(f);
+    if (s.to_reader || f.phase != Phase::Answering || f.out_at(false)) return;
+    if (f.state_at) f.phase = Phase::Handing;  // handed over by timer
+    else if (f.out_at(true)) f.phase = Phase::Reading;
+    else back_to_queue(f);
+  }
+
   void back_to_queue(Inference& f) {
     unbook(f);
     out_.push_back(LetGo{f.what.inf});  // a failed writer may still hold a place that nothing here remembers
@@ -639,7 +652,7 @@
 
   bool may_send(const Inference& f) const {
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return false;
-    if (static_cast<int>(f.sends.size()) >= s_.max_sends || f.ends - now_ <= answer_margin) return false;
+    if (f.sends_made() >= s_.max_sends || f.ends - now_ <= answer_margin) return false;
     if (!may_copy(f) && f.any_out()) return false;
     if ((!f.failed_at.empty() && !may_repeat()) || window_over(f)) return false;
     return route(f.what).effect != Effect::NonRetriable ||
@@ -776,7 +789,9 @@
   }
 
   void judge(const EngineId& id, Engine& e, const Inference& f, const Send& s, const SendEnded& end) {
-    if (end.as == EndedAs::TimedOut || end.as == EndedAs::Cancelled || end.as == EndedAs::Moot) return;
+    if (end.as == EndedAs::TimedOut || end.as == EndedAs::Cancelled || end.as == EndedAs::Moot ||
+        end.as == EndedAs::LocalFailure)
+      return;
     // Guards against doubting all for it; a dead engine refuses the next connection.
     if (link_was_broken(end)) return;
     const bool lost = end.as == EndedAs::Reset || end.as == EndedAs::ConnectFailed;
@@ -813,7 +828,7 @@
   void look_after(Inference& f) {
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return;
     if (f.ends - now_ <= answer_margin) return finish(f);
-    if (f.phase == Phase::Handing && !f.any_out()) hand_over(f, tick);
+    if (f.phase == Phase::Handing && !f.any_out() && now_ >= f.not_before) hand_over(f, tick);
     if (f.phase == Phase::Handing && !f.any_out() && pin_is_near(f)) back_to_queue(f);
     if (f.phase == Phase::Reading || f.phase == Phase::Answering) rescue(f);
   }
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -116,6 +116,8 @@
   std::optional<EngineId> writer, state_at, place_at, home;
   std::optional<bool> place_held;  // none until the place asked for was answered
   int places = 0;
+  int local_failures = 0;  // sends that this front's machine could not make
+  Instant not_before;      // the next send, after one of those
   Instant place_asked;
   bool place_opens = false;  // there was no open connection for the place's question
   std::vector<Send> sends;
@@ -127,6 +129,8 @@
            any([&](const Send& s) { return s.engine == id; });
   }
   bool any(auto which) const { return std::any_of(sends.begin(), sends.end(), which); }
+  // Sends that were made, or may still be.
+  int sends_made() const { return static_cast<int>(sends.size()) - local_failures; }
   bool any_out() const {
     return any([](const Send& s) { return s.out; });
   }
--- a/tests/program/net_faults_test.cpp
+++ b/tests/program/net_faults_test.cpp
@@ -3,11 +3,15 @@
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 
+#include <boost/asio/error.hpp>
 #include <cerrno>
 #include <thread>
 
 #include "faults/fault_library.hpp"
+#include "front/hangups.hpp"
+#include "front/lobby.hpp"
 #include "net/clock.hpp"
+#include "net/local_error.hpp"
 #include "net/socket.hpp"
 #include "node_rig.hpp"
 
@@ -55,5 +59,158 @@
   }
 }
 
+Instant soon(int millis = 3000) { return clock_now() + Span::millis(millis); }
+
+TEST(NetFaults, AnInterruptedConnectGoesOn) {
+  Listener listener(Address{"127.0.0.1", 0});
+  fail_next("poll", EINTR, 2);
+  fail_next("connect", EINTR, 1);
+  EXPECT_EQ(Stream::connect({"127.0.0.1", listener.port()}, soon()).first, ConnectEnd::Connected);
+}
+
+TEST(NetFaults, WhatThisMachineLacksIsLocal) {
+  Listener listener(Address{"127.0.0.1", 0});
+  const Address at{"127.0.0.1", listener.port()};
+  for (const int error : {EMFILE, ENFILE, ENOBUFS, ENOMEM}) {
+    fail_next("socket", error, 1);
+    EXPECT_EQ(Stream::connect(at, soon()).first, ConnectEnd::Local) << error;
+  }
+  for (const int error : {EADDRNOTAVAIL, ENOBUFS, EAGAIN}) {
+    fail_next("connect", error, 1);
+    EXPECT_EQ(Stream::connect(at, soon()).first, ConnectEnd::Local) << error;
+  }
+  for (const int error : {ENETUNREACH, EHOSTUNREACH}) {
+    fail_next("connect", error, 1);
+    EXPECT_EQ(Stream::connect(at, soon()).first, ConnectEnd::Unreachable) << error;
+  }
+  fail_next("connect", ECONNREFUSED, 1);
+  EXPECT_EQ(Stream::connect(at, soon()).first, ConnectEnd::Refused);
+}
+
+TEST(NetFaults, AcceptingPausesWhereMemoryIsShort) {
+  Listener listener(Address{"127.0.0.1", 0});
+  const auto client = Stream::connect({"127.0.0.1", listener.port()}, soon());
+  for (const int error : {ENOBUFS, ENOMEM}) {
+    const int before = faults::calls_made("accept4");
+    fail_next("accept4", error, 1 << 20);
+    EXPECT_FALSE(listener.accept(soon(150)));
+    EXPECT_LT(faults::calls_made("accept4") - before, 150) << error;
+  }
+  fail_next("accept4", 0, 0);
+  EXPECT_TRUE(listener.accept(soon()));
+}
+
+TEST(NetFaults, FailedNewcomersDoNotKeepOthersOutEvenAfterAStop) {
+  Listener listener(Address{"127.0.0.1", 0});
+  for (const int error : {ECONNABORTED, EINTR, EPROTO, ENETDOWN, EHOSTUNREACH, ENOBUFS, ENOMEM}) {
+    const auto client = Stream::connect({"127.0.0.1", listener.port()}, soon());
+    fail_next("accept4", error, 2);
+    listener.stop();
+    EXPECT_TRUE(listener.accept(soon())) << error;
+  }
+  EXPECT_FALSE(listener.accept(soon()));
+}
+
+TEST(NetFaults, InterruptedAndShortOfMemoryReadsAndWritesAreMadeAgain) {
+  SocketPair pair;
+  boost::system::error_code ec;
+  char byte = 'x';
+  for (const int error : {EINTR, ENOMEM, ENOBUFS}) {
+    pair.near.set_deadline(soon()), pair.far.set_deadline(soon());
+    fail_next("send", error, 3);
+    EXPECT_EQ(pair.near.write_some(boost::asio::buffer(&byte, 1), ec), 1u) << error;
+    fail_next("recv", error, 3);
+    EXPECT_EQ(pair.far.read_some(boost::asio::buffer(&byte, 1), ec), 1u) << error;
+    EXPECT_FALSE(ec) << error;
+  }
+  // No longer than the deadline, though.
+  pair.far.set_deadline(soon(30));
+  fail_next("recv", ENOMEM, 1 << 20);
+  EXPECT_EQ(pair.far.read_some(boost::asio::buffer(&byte, 1), ec), 0u);
+  EXPECT_EQ(ec, boost::asio::error::timed_out);
+  fail_next("recv", 0, 0);
+}
+
+TEST(NetFaults, ABrokenConnectionIsAnEnd) {
+  for (const int error : {ETIMEDOUT, EHOSTUNREACH, ECONNRESET}) {
+    SocketPair pair;
+    boost::system::error_code ec;
+    char byte = 'x';
+    pair.near.set_deadline(soon());
+    fail_next("recv", error, 1);
+    EXPECT_EQ(pair.near.read_some(boost::asio::buffer(&byte, 1), ec), 0u);
+    EXPECT_EQ(ec.value(), error);
+    fail_next("send", error, 1);
+    EXPECT_EQ(pair.near.write_some(boost::asio::buffer(&byte, 1), ec), 0u);
+    EXPECT_EQ(ec.value(), error);
+  }
+}
+
+TEST(NetFaults, WhoCanNotListenForNowIsToldSo) {
+  for (const int error : {ENFILE, EMFILE, ENOBUFS, ENOMEM}) {
+    fail_next("socket", error, 1);
+    EXPECT_THROW(Listener(Address{"127.0.0.1", 0}), LocalError) << error;
+  }
+  EXPECT_NO_THROW(Listener(Address{"127.0.0.1", 0}));
+}
+
+// One connection that waits in a lobby, and what it was given on to.
+struct LobbyRig {
+  LobbyRig() : listener(Address{"127.0.0.1", 0}) {
+    client = Stream::connect({"127.0.0.1", listener.port()}, soon()).second;
+    auto served = listener.accept(soon());
+    guest = std::make_shared<front::Lobby::Guest>(std::move(*served), limits, open);
+  }
+  void ask() {
+    boost::system::error_code ec;
+    client.set_deadline(soon());
+    client.write_some(boost::asio::buffer("G", 1), ec);
+  }
+  Listener listener;
+  Stream client;
+  http::Limits limits;
+  std::atomic<std::size_t> open = 0;
+  std::shared_ptr<front::Lobby::Guest> guest;
+};
+
+TEST(NetFaults, ALobbyOutlivesAFailedWait) {
+  LobbyRig rig;
+  std::atomic<int> come = 0, failed = 0;
+  front::Lobby lobby([&](const front::Lobby::Shared&) { ++come; }, 4, [&](int error) { failed = error; });
+  fail_next("epoll_wait", EINVAL, 1);
+  lobby.wait(rig.guest);  // wakes it, so that it waits anew
+  ASSERT_TRUE(until([&] { return failed == EINVAL; }));
+  rig.ask();
+  EXPECT_TRUE(until([&] { return come == 1; }));
+}
+
+TEST(NetFaults, AConnectionThatCanNotBeWatchedIsServedAllTheSame) {
+  LobbyRig rig;
+  std::atomic<int> come = 0;
+  front::Lobby lobby([&](const front::Lobby::Shared&) { ++come; });
+  fail_next("epoll_ctl", ENOMEM, 100);
+  lobby.wait(rig.guest);
+  EXPECT_EQ(come, 1);
+  fail_next("epoll_ctl", 0, 0);
+}
+
+TEST(NetFaults, HangUpsAreHeardAfterAFailedWait) {
+  SocketPair client, other;
+  std::atomic<int> failed = 0;
+  front::Hangups hangups([&](int error) { failed = error; });
+  const auto ticket = [](InfId id) {
+    return std::make_shared<front::Ticket>(id, clock_now(), 0, front::Asked{});
+  };
+  const auto first = ticket(1), second = ticket(2);
+  const front::Hangups::Watch one(hangups, client.near.fd(), first);
+  fail_next("epoll_wait", EBADF, 1);
+  client.far.close();  // its wait ends, and the next one fails
+  EXPECT_EQ(first->wait(-1, soon()), Waited::PeerLeft);
+  ASSERT_TRUE(until([&] { return failed == EBADF; }));
+  const front::Hangups::Watch two(hangups, other.near.fd(), second);
+  other.far.close();
+  EXPECT_EQ(second->wait(-1, soon()), Waited::PeerLeft);
+}
+
 }  // namespace
 }  // namespace calicograde::net
