--- a/tests/program/node_rig.hpp
+++ b/tests/program/node_rig.hpp
@@ -50,8 +50,9 @@
 
 struct Rig {
   explicit Rig(const std::string& limits = all_limits, const std::string& known_more = "",
-               std::string connect_millis = "250.0")
+               std::string connect_millis = "250.0", std::vector<std::string> environment = {})
       : connect(std::move(connect_millis)),
+        more_environment(std::move(environment)),
         folder(std::filesystem::temp_directory_path() / ("node_test_" + std::to_string(getpid()))) {
     std::filesystem::create_directories(folder);
     for (auto* e : engines())
@@ -77,6 +78,7 @@
     pid_t spawned = 0;
     const std::string config = "NODE_CONFIG=" + (folder / "config.json").string();
     std::vector<char*> env{const_cast<char*>(config.c_str())};
+    for (const std::string& more : more_environment) env.push_back(const_cast<char*>(more.c_str()));
     for (char** e = environ; *e; ++e) env.push_back(*e);
     env.push_back(nullptr);
     char program[] = CALICOGRADED, flag[] = "--front-node";
@@ -186,6 +188,7 @@
   }
 
   const std::string connect;
+  const std::vector<std::string> more_environment;
   std::filesystem::path folder;
   lab::PlatformHall hall;
   lab::PlatformRegistry registry;
