Start and SIGHUP outlast disk errors and missing descriptors; starts of engines need no wall clock

Start: a configuration that is there but can't be read, a listener, an epoll or a signalfd that can't be had are tried again for 8 s with seeded pauses. SIGHUP: a file that can't be read or understood is read again for 5 s, in the drain too. settings::read_file no longer takes half a file for all of it after a read error.

Wall clock: node.cpp works out its offset once; platform/start_times bounds each engine's start by when this node was told of it (registry times compared with each other for a clock that is behind; 2 s before the last word without it for one that is ahead).

The soak's link_silent is now the fault library's, so that no kernel acknowledges what never arrives.

--- a/src/faults/fault_library.cpp
+++ b/src/faults/fault_library.cpp
@@ -17,8 +17,11 @@
 #include <dirent.h>
 #include <dlfcn.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <stdarg.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -35,20 +38,21 @@
 namespace {
 
 enum class Kind : std::size_t {
-  Eintr,        // any wait, and recv, send, read, write, accept and connect before they had an effect
-  Short,        // recv, send, read and write move fewer bytes than asked for
-  Accept,       // accept4 fails for a moment
-  Socket,       // socket fails for a moment
-  Connect,      // connect fails at once for a reason of this machine's
-  Memory,       // recv, send, poll and epoll_ctl fail with ENOMEM or ENOBUFS
-  Broken,       // a connection that this process made breaks with ETIMEDOUT or EHOSTUNREACH
+  Eintr,    // any wait, and recv, send, read, write, accept and connect before they had an effect
+  Short,    // recv, send, read and write move fewer bytes than asked for
+  Accept,   // accept4 fails for a moment
+  Socket,   // socket fails for a moment
+  Connect,  // connect fails at once for a reason of this machine's
+  Memory,   // recv, send, poll and epoll_ctl fail with ENOMEM or ENOBUFS
+  Silent,   // a connection that this process made takes what is sent, delivers nothing, and brings nothing
+  Broken,   // a connection that this process made breaks with ETIMEDOUT or EHOSTUNREACH
   LateConnect,  // a connection comes up half a second to one second late
   HoldUp,       // 0.15 s pass between what came before and a send
   Disk,         // write, fsync and rename on files fail with ENOSPC or EIO, some after half of the bytes
   Count
 };
-constexpr const char* names[] = {"eintr",  "short",  "accept",       "socket",  "connect",
-                                 "memory", "broken", "late_connect", "hold_up", "disk"};
+constexpr const char* names[] = {"eintr",  "short",  "accept",       "socket",  "connect", "memory",
+                                 "silent", "broken", "late_connect", "hold_up", "disk"};
 
 constexpr std::size_t most_descriptors = 65536;
 constexpr std::uint64_t hold_up_micros = 150000, latest_connect_micros = 1000000;
@@ -70,7 +74,8 @@
 std::atomic<bool> ready{false};
 std::atomic<std::uint64_t> draws{0};
 std::atomic<std::uint64_t> connects_at[most_descriptors];  // 0 = not held back
-std::atomic<bool> outgoing[most_descriptors];              // this process made the connection
+std::atomic<int> swallowed[most_descriptors];  // bytes that a silent connection took; 0 = not silent
+std::atomic<bool> outgoing[most_descriptors];  // this process made the connection
 
 template <class Function>
 Function real(const char* name) {
@@ -191,6 +196,10 @@
   ready = true;
 }
 
+bool is_silent(int fd) {
+  return fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors && swallowed[fd] > 0;
+}
+
 bool is_outgoing(int fd) {
   return fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors && outgoing[fd];
 }
@@ -226,6 +235,22 @@
   REAL_OR_ORDERED(poll);
   if (timeout != 0 && strikes(Kind::Eintr)) return fail_with(EINTR);
   if (strikes(Kind::Memory)) return fail_with(ENOMEM);
+  constexpr nfds_t most_masked = 4;
+  if (count <= most_masked) {
+    pollfd masked[most_masked];
+    bool any = false;
+    for (nfds_t k = 0; k < count; ++k) {
+      masked[k] = fds[k];
+      if (is_silent(fds[k].fd)) masked[k].fd = -1, any = true;  // nothing happens there any more
+    }
+    if (any) {
+      const int ready = real_poll(masked, count, timeout);
+      const int error = errno;
+      for (nfds_t k = 0; k < count; ++k) fds[k].revents = masked[k].revents;
+      errno = error;
+      return ready;
+    }
+  }
   const std::uint64_t late = count == 1 && (fds[0].events & POLLOUT) ? held_back(fds[0].fd) : 0;
   if (late == 0) return real_poll(fds, count, timeout);
   const std::uint64_t wait =
@@ -252,7 +277,8 @@
   constexpr int errors[] = {ENFILE, ENOBUFS, ENOMEM};
   if (strikes(Kind::Socket)) return fail_with(one_of(errors));
   const int fd = real_socket(domain, type, protocol);
-  if (fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors) connects_at[fd] = 0, outgoing[fd] = false;
+  if (fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors)
+    connects_at[fd] = 0, outgoing[fd] = false, swallowed[fd] = 0;
   return fd;
 }
 
@@ -263,7 +289,7 @@
   if (strikes(Kind::Accept)) return fail_with(one_of(errors));
   const int got = real_accept4(fd, address, size, flags);
   if (got >= 0 && static_cast<std::size_t>(got) < most_descriptors)
-    connects_at[got] = 0, outgoing[got] = false;
+    connects_at[got] = 0, outgoing[got] = false, swallowed[got] = 0;
   return got;
 }
 
@@ -287,10 +313,21 @@
   return done == 0 ? 0 : fail_with(EINPROGRESS);
 }
 
+int ioctl(int fd, unsigned long request, ...) {
+  REAL(ioctl);
+  va_list more;
+  va_start(more, request);
+  void* const argument = va_arg(more, void*);
+  va_end(more);
+  if (request == SIOCOUTQ && is_silent(fd)) return *static_cast<int*>(argument) = swallowed[fd], 0;
+  return real_ioctl(fd, request, argument);
+}
+
 ssize_t recv(int fd, void* to, size_t size, int flags) {
   REAL_OR_ORDERED(recv);
   if (strikes(Kind::Eintr)) return fail_with(EINTR);
   if (strikes(Kind::Memory)) return fail_with(ENOMEM);
+  if (is_silent(fd)) return fail_with(EAGAIN);
   if (is_outgoing(fd) && strikes(Kind::Broken)) return break_link(fd);
   return real_recv(fd, to, (flags & MSG_PEEK) ? size : shortened(size), flags);
 }
@@ -300,6 +337,10 @@
   if (strikes(Kind::HoldUp)) usleep(hold_up_micros);
   if (strikes(Kind::Eintr)) return fail_with(EINTR);
   if (strikes(Kind::Memory)) return fail_with(one_of(no_room));
+  if (is_silent(fd) || (is_outgoing(fd) && strikes(Kind::Silent))) {
+    swallowed[fd] += static_cast<int>(size);
+    return static_cast<ssize_t>(size);
+  }
   if (is_outgoing(fd) && strikes(Kind::Broken)) return break_link(fd);
   return real_send(fd, from, shortened(size), flags);
 }
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -50,6 +50,7 @@
 constexpr std::size_t runs_a_slice = 256;  // of an index, copied out between two events
 // Of one engine, before the next is asked: 99 in 100 answer within 9 ms on days at the brink, the rest never.
 constexpr Span release_answer = Span::millis(25);
+constexpr double acknowledged_part_of_pin = 0.5;  // of the pin limit: what is left serves one more attempt
 constexpr Span local_retry_within = Span::millis(40);
 constexpr std::size_t errands_waiting = 65536;
 
@@ -979,9 +980,9 @@
     if (!facts.asked_whole && clock_now() >= s.until) facts.timed_out = true;
     if (!facts.asked_whole) return false;
     http::Response head;
-    BodyEnd end = link.read_head(head, s.until);
+    BodyEnd end = read_head(p, s, link, head);
     facts.garbled = link.garbled();
-    facts.arrived = end == BodyEnd::Done || link.stream().acknowledged();
+    facts.arrived = end == BodyEnd::Done || link.stream().acknowledged().value_or(false);
     if (end != BodyEnd::Done) return facts.timed_out = end == BodyEnd::TimedOut, false;
     p.dialect->head(head, facts, ending);
     if (p.dialect->streams(s.leg, head)) return begin_stream(p, s, ticket, control, at, link, facts);
@@ -998,6 +999,19 @@
     return false;
   }
 
+  // The head of an attempt's answer. Where a state waits for the attempt, it is given up early if the engine's
+  // machine has acknowledged nothing: its connection has fallen silent, and the state waits all the same.
+  static BodyEnd read_head(const PoolParts& p, const StartSend& s, http::ClientConnection& link,
+                           http::Response& head) {
+    const Instant acknowledged_by =
+        clock_now() + p.settings.routing.pin_limit * acknowledged_part_of_pin;
+    if (s.leg == Leg::Write && acknowledged_by < s.until) {
+      const BodyEnd end = link.read_head(head, acknowledged_by);
+      if (end != BodyEnd::TimedOut || !link.stream().acknowledged().value_or(true)) return end;
+    }
+    return link.read_head(head, s.until);
+  }
+
   bool begin_stream(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control,
                     const net::Address& at, http::ClientConnection& link, SendFacts& facts) {
     EngineStream::Begun begun;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -77,7 +77,8 @@
 
 constexpr int most_refused_reads = 64;  // of 4 KiB each, from a client that is turned away
 
-constexpr int most_looks = 5;  // where a look without a wait is interrupted
+constexpr int most_tries_to_accept = 3;  // before newcomers are refused for a lack of descriptors
+constexpr int most_looks = 5;            // where a look without a wait is interrupted
 
 boost::system::error_code last_error() { return {errno, boost::system::system_category()}; }
 
@@ -267,9 +268,10 @@
   return look(fd_.get(), POLLIN | POLLRDHUP).value_or(true);  // what can't be looked at is not used
 }
 
-bool Stream::acknowledged() const {
+std::optional<bool> Stream::acknowledged() const {
   int waiting = 0;
-  return fd_ && ::ioctl(fd_.get(), SIOCOUTQ, &waiting) == 0 && waiting == 0;
+  if (!fd_ || ::ioctl(fd_.get(), SIOCOUTQ, &waiting) != 0) return std::nullopt;
+  return waiting == 0;
 }
 
 bool Stream::ended() const {
@@ -377,11 +379,14 @@
     if (wait_ready(p, 2, deadline) == 0) return std::nullopt;
     const bool stopped = p[1].revents != 0;
     const int got = ::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC);
-    if (got >= 0) return Stream(Fd(got));
     const int error = errno;
-    if (error == EMFILE || error == ENFILE) refuse_on_spare(refusal);
-    else if (is_out_of_memory(error)) retry.pause();
-    else if (stopped && !newcomer_failed(error)) return std::nullopt;  // nobody waits any more
+    if (got >= 0) return short_of_descriptors_ = 0, Stream(Fd(got));
+    if (error == EMFILE || error == ENFILE) {
+      if (++short_of_descriptors_ < most_tries_to_accept) retry.pause();
+      else refuse_on_spare(refusal);
+    } else if (is_out_of_memory(error)) {
+      retry.pause();
+    } else if (stopped && !newcomer_failed(error)) return std::nullopt;  // nobody waits any more
     if (clock_now() >= deadline) return std::nullopt;
   }
 }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -84,8 +84,8 @@
   bool ended() const;
   // Whether the other side has closed its end; what it sent before may still be unread.
   bool peer_left() const;
-  // Whether the other side's machine has acknowledged all that was written; false where it can't be told.
-  bool acknowledged() const;
+  // Whether the other side's machine has acknowledged all that was written; none where the kernel can't tell.
+  std::optional<bool> acknowledged() const;
   std::size_t bytes_read() const { return bytes_read_; }
   std::size_t bytes_written() const { return bytes_written_; }
 
@@ -153,7 +153,8 @@
   unsigned short port() const { return port_; }
   // The next connection, or none at the deadline. After stop() those that the kernel had accepted before are
   // still given out, then none: a client may have written its request to them already. Where descriptors have
-  // run out, a waiting one is accepted on a spare descriptor, given `refusal` whole, and closed.
+  // run out, and not for a moment only, a waiting one is accepted on a spare descriptor, given `refusal` whole, and
+  // closed.
   std::optional<Stream> accept(Instant deadline, std::string_view refusal = {});
   void stop();
 
@@ -161,6 +162,7 @@
   void refuse_on_spare(std::string_view refusal);
   Fd fd_, wake_;
   SpareDescriptor spare_;
+  int short_of_descriptors_ = 0;  // tries in a row
   unsigned short port_ = 0;
   std::string path_;  // of a unix socket, removed with it
 };
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <tuple>
+#include <utility>
 
 #include "net/clock.hpp"
 #include "platform/objects.hpp"
@@ -24,8 +25,8 @@
     : core_(core),
       pool_(pool),
       names_(std::move(names)),
-      wall_offset_(wall_offset),
       rules_(rules),
+      starts_(wall_offset),
       random_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {}
 
 Follower::~Follower() {
@@ -116,7 +117,7 @@
   for (Instant last = clock_now();;) {
     std::string bytes;
     const BodyEnd end = link.read_body(bytes, last + rules_.silence);
-    if (!bytes.empty()) last = clock_now();
+    if (!bytes.empty()) last = clock_now(), heard_before_ = std::exchange(heard_at_, last);
     std::vector<std::string> whole;
     const bool sound = objects.feed(bytes, whole);
     for (const auto& object : whole)
@@ -132,7 +133,7 @@
 }
 
 bool Follower::take_object(const std::string& object) {
-  auto parsed = platform::parse_listing(object, names_, wall_offset_);
+  auto parsed = platform::parse_listing(object, names_);
   if (const auto* wrong = std::get_if<std::string>(&parsed)) {
     core_.log().line(Level::Error, "registry not understood", {{"what", *wrong}});
     return false;
@@ -160,6 +161,9 @@
   FleetListed list;
   list.scope = scope, list.version = listing.version;
   std::map<EngineId, net::Address> reached;
+  const Instant now = clock_now();
+  for (const auto& e : listing.engines)
+    if (e.started_at) starts_.heard(*e.started_at, now);
   for (const auto& e : listing.engines) {
     const EngineId id = e.entry.engine;
     const auto [owner, fresh] = instances_.emplace(id, e.instance);
@@ -170,7 +174,7 @@
     }
     const auto at = net::parse_address(e.host_port);
     if (e.entry.lifecycle == Lifecycle::Gone) {
-      reached_.erase(id), instances_.erase(id);
+      reached_.erase(id), instances_.erase(id), starts_.forget(id);
     } else if (!at || !net::is_literal(*at)) {
       core_.log().line(Level::Warn, "registry entry passed over",
                        {{"what", e.instance + ": hostPort is no address"}});
@@ -180,6 +184,7 @@
       reached[id] = *at;
     }
     list.entries.push_back(e.entry);
+    if (e.started_at) list.entries.back().started = starts_.started(id, *e.started_at, now, heard_before_);
   }
   if (scope == ListScope::Delta && list.entries.empty()) return;
   if (scope != ListScope::Delta) {
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -12,6 +12,7 @@
 #include "front/core.hpp"
 #include "http/http.hpp"
 #include "platform/registry.hpp"
+#include "platform/start_times.hpp"
 
 namespace calicograde::node {
 
@@ -49,11 +50,12 @@
   front::Core& core_;
   const std::size_t pool_;
   const platform::Decoded names_;
-  const Span wall_offset_;
   const Rules rules_;
   // The thread's alone, once it runs.
   std::map<EngineId, std::string> instances_;  // whose ids these are
   std::map<EngineId, net::Address> reached_;
+  platform::StartTimes starts_;
+  std::optional<Instant> heard_at_, heard_before_;  // the last bytes from the registry, and those before them
   std::uint64_t version_ = 0;
   std::mt19937 random_;
   net::SpareDescriptor spare_;  // for the watch, where clients and engines have taken all others
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,10 +9,13 @@
 
 #include <cerrno>
 #include <cstdio>
+#include <cstring>
+#include <system_error>
 
 #include "front/core.hpp"
 #include "front/server.hpp"
 #include "net/clock.hpp"
+#include "net/local_error.hpp"
 #include "node/client_front.hpp"
 #include "node/dialect.hpp"
 #include "node/follower.hpp"
@@ -31,6 +34,8 @@
 constexpr Span first_word = Span::millis(500);  // of a registry that may be down
 constexpr Span tell_every = Span::millis(5000);
 constexpr double pause_of_grace = 0.25;  // mean; at most half as much again
+constexpr Span reread_within = Span::millis(5000), reread_every = Span::millis(100);
+constexpr Span start_within = Span::millis(8000);  // where this machine lacks something for a moment
 constexpr Span drain_poll_interval = Span::millis(10);
 // An engine's second answer to one request follows its first within some milliseconds.
 constexpr Span second_answer_within = Span::millis(20);
@@ -49,11 +54,15 @@
   return *at;
 }
 
-platform::NodeConfig read(const std::string& file, Span offset) {
+platform::NodeConfig read(const std::string& file) {
   std::vector<settings::Fault> faults;
   const auto text = settings::read_file(file, faults);
-  if (!text) throw platform::ConfigError(faults.empty() ? "can't be read" : faults.front().what);
-  auto config = platform::read_config(*text, offset);
+  if (!text) {
+    const std::string what = faults.empty() ? "can't be read" : faults.front().what;
+    if (::access(file.c_str(), R_OK) == 0) throw platform::ConfigUnreadable(what);
+    throw platform::ConfigError(what);
+  }
+  auto config = platform::read_config(*text);
   address(config.listen, "listen"), address(config.discovery, "discovery");
   return config;
 }
@@ -71,7 +80,6 @@
  public:
   Node(std::string file, Span offset, const platform::NodeConfig& config, int signals)
       : file_(std::move(file)),
-        offset_(offset),
         config_(config),
         signals_(signals),
         settings_(front_settings(config)),
@@ -93,8 +101,9 @@
         Level::Info, "ready",
         {{"front", settings_.name}, {"version", version}, {"listen", net::text_of(server_.addresses()[0])}});
     for (Instant told = clock_now();;) {
-      if (const int signal = next_signal(Span::millis(500)); signal == SIGHUP) reread();
-      else if (signal != 0) break;
+      const int signal = next_signal(rereading_until_ ? reread_every : Span::millis(500));
+      if (signal != 0 && signal != SIGHUP) break;
+      heed(signal);
       if (clock_now() - told >= tell_every) told = clock_now(), tell();
     }
     return stop();
@@ -112,24 +121,44 @@
     pollfd readable{signals_, POLLIN, 0};
     if (::poll(&readable, 1, static_cast<int>(wait.as_millis())) <= 0) return 0;
     signalfd_siginfo info{};
+    // Interrupted, it is read the next time: it stays until then.
     return ::read(signals_, &info, sizeof info) == sizeof info ? static_cast<int>(info.ssi_signo) : 0;
   }
 
   // While the node drains a new configuration still counts: what it holds has yet to be sent by the list.
   // A further SIGTERM changes nothing.
   void heed_signals_while_draining() {
-    while (const int signal = next_signal(drain_poll_interval))
-      if (signal == SIGHUP) reread();
+    int signal = 0;
+    do {
+      signal = next_signal(drain_poll_interval);
+      heed(signal);
+    } while (signal != 0);
+  }
+
+  // SIGHUP, or nothing: a new configuration that could not be read yet is tried again.
+  void heed(int signal) {
+    const Instant now = clock_now();
+    if (signal == SIGHUP) rereading_until_ = now + reread_within, reread_at_ = now;
+    if (rereading_until_ && now >= reread_at_) reread(now);
   }
 
-  void reread() {
+  // The disk may fail for a moment, and the file be half written. What it says is owed all the same: a
+  // registry that is left behind tells of no drain any more.
+  void reread(Instant now) {
     try {
-      const auto fresh = read(file_, offset_);
-      log_.line(Level::Info, "configuration read anew", {{"discovery", fresh.discovery}});
+      const auto fresh = read(file_);
       follower_.follow(address(fresh.discovery, "discovery"));
+      log_.line(Level::Info, "configuration read anew", {{"discovery", fresh.discovery}});
+      rereading_until_.reset(), reread_failed_.clear();
     } catch (const std::exception& e) {
-      log_.line(Level::Error, "configuration not understood; the old one is kept",
-                {{"file", file_}, {"what", e.what()}});
+      const bool last = now >= *rereading_until_;
+      if (last || e.what() != reread_failed_)
+        log_.line(Level::Error,
+                  last ? "configuration not understood; the old one is kept"
+                       : "configuration not understood; it is read again",
+                  {{"file", file_}, {"what", e.what()}});
+      reread_failed_ = e.what(), reread_at_ = now + reread_every;
+      if (last) rereading_until_.reset(), reread_failed_.clear();
     }
   }
 
@@ -171,7 +200,9 @@
   }
 
   const std::string file_;
-  const Span offset_;
+  std::optional<Instant> rereading_until_;  // a new configuration is to be read, and could not be so far
+  Instant reread_at_;
+  std::string reread_failed_;  // why, the last time
   const platform::NodeConfig config_;
   const int signals_;
   const settings::Front settings_;
@@ -213,6 +244,17 @@
   return f;
 }
 
+namespace {
+
+// Descriptors, memory or threads are missing for now.
+bool is_local(const std::exception& problem) {
+  if (dynamic_cast<const net::LocalError*>(&problem)) return true;
+  const auto* system = dynamic_cast<const std::system_error*>(&problem);
+  return system && net::is_local_error(system->code().value());
+}
+
+}  // namespace
+
 int run(const std::string& file) {
   // Few arenas: each holds on to what its threads once used.
   mallopt(M_ARENA_MAX, 2), mallopt(M_TRIM_THRESHOLD, 256 << 10), mallopt(M_MMAP_THRESHOLD, 128 << 10);
@@ -222,22 +264,29 @@
   // Blocked before any thread is started, so that all of them have it blocked.
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
   signal(SIGPIPE, SIG_IGN);
-  const Span offset = wall_offset();
+  const Instant begun = clock_now();
+  net::LocalRetry retry(begun + start_within);
   std::optional<platform::NodeConfig> config;
-  try {
-    config = read(file, offset);
-  } catch (const std::exception& e) {
-    std::fprintf(stderr, "%s: %s\n", file.c_str(), e.what());
-    return wrong_settings;
-  }
-  try {
-    net::lift_descriptor_limit();
-    const net::Fd signals(signalfd(-1, &set, SFD_CLOEXEC));
-    return Node(file, offset, *config, signals.get()).run();
-  } catch (const std::exception& e) {
-    std::fprintf(stderr, "calicograded: %s\n", e.what());
-    return cannot_start;
-  }
+  while (!config) try {
+      config = read(file);
+    } catch (const platform::ConfigUnreadable& e) {
+      if (!retry.pause()) return std::fprintf(stderr, "%s: %s\n", file.c_str(), e.what()), wrong_settings;
+    } catch (const std::exception& e) {
+      std::fprintf(stderr, "%s: %s\n", file.c_str(), e.what());
+      return wrong_settings;
+    }
+  net::LocalRetry::seed(config->seed);
+  for (;;) try {
+      net::lift_descriptor_limit();
+      const net::Fd signals(signalfd(-1, &set, SFD_CLOEXEC));
+      if (!signals) throw net::LocalError(std::string("cannot wait for signals: ") + std::strerror(errno));
+      return Node(file, wall_offset(), *config, signals.get()).run();
+    } catch (const std::exception& e) {
+      // What is missing for a moment is no reason not to start.
+      if (is_local(e) && retry.pause()) continue;
+      std::fprintf(stderr, "calicograded: %s\n", e.what());
+      return cannot_start;
+    }
 }
 
 }  // namespace calicograde::node
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -64,7 +64,7 @@
 
 }  // namespace
 
-NodeConfig read_config(std::string_view text, Span wall_offset) {
+NodeConfig read_config(std::string_view text) {
   const Json j = Json::parse(text, nullptr, false);
   if (!j.is_object()) bad("(file)", "is no JSON object", "give the platform's configuration unchanged");
   NodeConfig c;
@@ -106,7 +106,7 @@
     c.give_up.push_back(time_of(values, "classes." + std::to_string(k) + ".give_up"));
   c.drain_grace = time_of(values, "rules.drain_grace");
   if (const Json* known = at(j, "known")) {
-    auto listing = parse_listing(known->dump(), t, wall_offset);
+    auto listing = parse_listing(known->dump(), t);
     if (const auto* wrong = std::get_if<std::string>(&listing))
       bad("known", *wrong, "give the registry's list, or none");
     c.known = std::move(std::get<Listing>(listing));
--- a/src/platform/config.hpp
+++ b/src/platform/config.hpp
@@ -17,6 +17,11 @@
   using std::runtime_error::runtime_error;
 };
 
+// The file is there, but could not be read for now.
+struct ConfigUnreadable : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 struct NodeConfig {
   std::string name, listen, discovery;
   std::uint64_t seed = 0;
@@ -27,8 +32,8 @@
   Span drain_grace;           // nothing new to an engine so long after this node was told that it drains
   Listing known;              // may be old
 };
-// Throws ConfigError; `wall_offset` as in parse_listing.
-NodeConfig read_config(std::string_view text, Span wall_offset);
+// Throws ConfigError.
+NodeConfig read_config(std::string_view text);
 
 // How the limits are divided. Descriptors: every connection of a client, every link to an engine, and a rest
 // for the listener, the registry's links (two while one is left for another), the log, signals and spares.
--- a/src/platform/registry.cpp
+++ b/src/platform/registry.cpp
@@ -18,7 +18,7 @@
 }
 
 // What is wrong with it; empty = nothing.
-std::string read_entry(const Json& j, const Decoded& names, Span wall_offset, Listed& out) {
+std::string read_entry(const Json& j, const Decoded& names, Listed& out) {
   out.instance = text_at(j, "instanceId"), out.host_port = text_at(j, "hostPort");
   if (out.instance.empty() || out.instance.size() > 256) return "instanceId is missing";
   EngineEntry& e = out.entry;
@@ -42,7 +42,7 @@
   if (!(weight >= 0 && weight <= 1e9)) return "weight is out of range";
   if (!(started >= 0 && started <= 1e14)) return "startedAtMs is out of range";
   e.rack = static_cast<std::uint16_t>(cell), e.size = weight;
-  if (started > 0) e.started = Instant::at(Span::from_millis(started) - wall_offset);
+  if (started > 0) out.started_at = Span::from_millis(started);
   return {};
 }
 
@@ -57,8 +57,7 @@
   return id;
 }
 
-std::variant<Listing, std::string> parse_listing(std::string_view text, const Decoded& names,
-                                                 Span wall_offset) {
+std::variant<Listing, std::string> parse_listing(std::string_view text, const Decoded& names) {
   const Json j = Json::parse(text, nullptr, false);
   if (!j.is_object()) return std::string("no JSON object");
   const Json* list = at(j, "instances");
@@ -72,7 +71,7 @@
   out.whole = whole && whole->is_boolean() && whole->get<bool>();
   for (const Json& entry : *list) {
     Listed e;
-    const std::string wrong = read_entry(entry, names, wall_offset, e);
+    const std::string wrong = read_entry(entry, names, e);
     if (wrong.empty()) out.engines.push_back(std::move(e));
     else out.skipped.push_back((e.instance.empty() ? "?" : e.instance) + ": " + wrong);
   }
--- a/src/platform/registry.hpp
+++ b/src/platform/registry.hpp
@@ -18,7 +18,8 @@
 
 struct Listed {
   std::string instance, host_port;
-  EngineEntry entry;
+  EngineEntry entry;               // without its start:
+  std::optional<Span> started_at;  // wall time since the Unix epoch; none = long ago
 };
 struct Listing {
   std::uint64_t version = 0;
@@ -27,9 +28,7 @@
   std::vector<std::string> skipped;  // entries that could not be understood, and why
 };
 // One object of the registry, or what is wrong with it. Entries of unknown kinds, zones or states are
-// skipped; `wall_offset`: the wall clock less the front's own, so that one start is the same instant each
-// time it is told.
-std::variant<Listing, std::string> parse_listing(std::string_view json, const Decoded& names,
-                                                 Span wall_offset);
+// skipped.
+std::variant<Listing, std::string> parse_listing(std::string_view json, const Decoded& names);
 
 }  // namespace calicograde::platform
--- a/src/platform/request.hpp
+++ b/src/platform/request.hpp
@@ -36,11 +36,10 @@
 std::variant<Wanted, Refusal> read_request(const Headers& headers, std::size_t body_bytes,
                                            const Decoded& names);
 
-
-// Those of a client's headers that an engine is to get as they came, in their order: all but what concerns one
-// connection only (RFC 9110, 7.6.1, and what the Connection header names) or its framing, the host, and the
-// time-out, which is told anew. Whatever marks a request for engines, such as the key by which they know a
-// repeat, is among them, whether or not this front knows it.
+// Those of a client's headers that an engine is to get as they came, in their order: all but what concerns
+// one connection only (RFC 9110, 7.6.1, and what the Connection header names) or its framing, the host, and
+// the time-out, which is told anew. Whatever marks a request for engines, such as the key by which they know
+// a repeat, is among them, whether or not this front knows it.
 Headers end_to_end_headers(const Headers& headers);
 
 }  // namespace calicograde::platform
--- a/src/settings/xml.cpp
+++ b/src/settings/xml.cpp
@@ -143,7 +143,9 @@
     text.resize(static_cast<std::size_t>(in.gcount()));
   }
   if (!in.eof() || (text.empty() && !in)) {
-    if (!in.is_open())
+    if (in.bad())
+      faults.push_back({file, 0, "cannot be read whole: the disk failed", "check the disk, then try again"});
+    else if (!in.is_open())
       faults.push_back(
           {file, 0, std::string("cannot be read: ") + std::strerror(errno), "check the path and its rights"});
     else if (text.size() > (4 << 20)) faults.push_back({file, 0, "is larger than 4 MiB", "split it"});
--- a/src/soak/engines.cpp
+++ b/src/soak/engines.cpp
@@ -112,7 +112,6 @@
 
 std::string SoakEngine::address() const { return server_.address(); }
 void SoakEngine::hang(bool on) { hanging_ = on; }
-void SoakEngine::mute_new_connections(bool on) { muting_ = on; }
 
 void SoakEngine::restart() {
   ++life_;
@@ -128,17 +127,10 @@
   return !connection.stream().peer_left();
 }
 
-bool SoakEngine::stays_mute(http::ServerConnection& connection) const {
-  while (!stopping_ && !connection.stream().peer_left()) usleep(static_cast<useconds_t>(step.as_micros()));
-  return false;
-}
-
 void SoakEngine::serve(net::Stream stream) {
-  const bool mute = muting_;
   http::Limits limits;
   limits.idle = Span::millis(60000);
   http::ServerConnection connection(std::move(stream), limits);
-  if (mute) return static_cast<void>(stays_mute(connection));  // nothing that is sent here arrives
   http::Request request;
   while (!stopping_ && connection.read(request) == http::ReadEnd::Ok) {
     if (request.target.starts_with("/state/")) serve_state(request, connection);
--- a/src/soak/engines.hpp
+++ b/src/soak/engines.hpp
@@ -49,7 +49,6 @@
 
   // Faults, each on until it is set off again.
   void hang(bool on);                           // takes requests and answers none
-  void mute_new_connections(bool on);           // what comes on connections made from now on is not answered
   void cut_answers(bool on) { cutting_ = on; }  // about a third of them
   void double_answers(bool on) { doubling_ = on; }
   // Drops its connections and all that it held.
@@ -64,14 +63,13 @@
   bool write_answer(Attempt& attempt, http::ServerConnection& connection);
   // Until the time has passed and the engine does not hang; false where the other side has left meanwhile.
   bool work(http::ServerConnection& connection, Span time) const;
-  bool stays_mute(http::ServerConnection& connection) const;
 
   const std::size_t number_;
   const Role role_;
   HeldState& held_;
   Journal& journal_;
   std::atomic<std::uint64_t>& attempts_;
-  std::atomic<bool> hanging_ = false, muting_ = false, cutting_ = false, doubling_ = false;
+  std::atomic<bool> hanging_ = false, cutting_ = false, doubling_ = false;
   std::atomic<int> life_ = 0;  // counts restarts
   std::atomic<bool> stopping_ = false;
   lab::LoopbackServer server_;
--- a/src/soak/schedule.cpp
+++ b/src/soak/schedule.cpp
@@ -17,7 +17,6 @@
   switch (trouble) {
     case Trouble::EngineDrain:
     case Trouble::EngineGone:
-    case Trouble::LinkSilent:
     case Trouble::EngineHang:
     case Trouble::EngineRestart:
     case Trouble::AnswerCut:
@@ -87,6 +86,7 @@
         rule("eintr", 0.03), rule("short", 0.1), rule("accept", 0.05), rule("socket", 0.02);
         rule("connect", 0.02), rule("memory", 0.01);
         break;
+      case Trouble::LinkSilent: rule("silent", 0.05); break;
       case Trouble::LinkBroken: rule("broken", 0.01); break;
       case Trouble::HoldUp: rule("hold_up", 0.05); break;
       case Trouble::DiskError: rule("disk", 0.5); break;
--- a/src/soak/schedule.hpp
+++ b/src/soak/schedule.hpp
@@ -21,7 +21,7 @@
   DiscoveryCrowded,   // a node's discovery agent answers late
   WatchSilent,        // open watches stay open and bring nothing more
   WatchReset,         // open watches are reset
-  LinkSilent,         // what is sent to an engine on new connections gets no answer
+  LinkSilent,         // connections that a node made fall silent: nothing arrives, nothing comes
   LateHandshake,      // connections that a node makes come up late
   EngineHang,         // an engine takes requests and answers none until it goes on
   EngineRestart,      // an engine drops its connections and all that it held
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -169,7 +169,6 @@
       case Trouble::WatchReset:
         if (begins) site.agent().reset_watches();
         break;
-      case Trouble::LinkSilent: engine.mute_new_connections(begins); break;
       case Trouble::EngineHang: engine.hang(begins); break;
       case Trouble::EngineRestart:
         if (begins) engine.restart(), list(w.engine, Lifecycle::Ready, wall_now_ms());
--- a/tests/program/node_race_test.cpp
+++ b/tests/program/node_race_test.cpp
@@ -196,7 +196,7 @@
 // that the moment between two steps stays open.
 struct CoreRig {
   explicit CoreRig(std::shared_ptr<const front::Dialect> dialect = platform_dialect())
-      : config(platform::read_config(config_text("127.0.0.1:1", all_limits, known_list()), Span{})),
+      : config(platform::read_config(config_text("127.0.0.1:1", all_limits, known_list()))),
         settings(in_process(front_settings(config))),
         core(settings, log, {std::move(dialect)}),
         follower(core, 0, config.told, Span{}, Follower::Rules{}, 1) {
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -9,6 +9,7 @@
 #include "platform/objects.hpp"
 #include "platform/outcomes.hpp"
 #include "platform/request.hpp"
+#include "platform/start_times.hpp"
 
 namespace calicograde::platform {
 namespace {
@@ -34,7 +35,7 @@
 }
 
 TEST(NodeConfig, ReadsTheNestedObjectAsTheWiresLines) {
-  const auto c = read_config(good, Span{});
+  const auto c = read_config(good);
   EXPECT_EQ(c.seed, 0x92094eb940cf389aULL);
   EXPECT_EQ(c.descriptors, 256u);
   const auto lines = read_settings(pairs_of(
@@ -83,7 +84,7 @@
       {without(R"("generation":7)", R"("generation":"x")"), "known"},
   };
   for (const auto& [text, key] : wrong) try {
-      read_config(text, Span{});
+      read_config(text);
       ADD_FAILURE() << key;
     } catch (const ConfigError& e) {
       EXPECT_NE(std::string(e.what()).find(key), std::string::npos) << e.what();
@@ -92,7 +93,7 @@
 }
 
 TEST(NodeConfig, LimitsAreDividedAndFit) {
-  auto c = read_config(good, Span{});
+  auto c = read_config(good);
   for (const std::size_t all : {64u, 256u, 1024u, 4096u}) {
     c.descriptors = all;
     const auto s = divide(c);
@@ -108,10 +109,10 @@
 }
 
 TEST(Registry, EntriesAreReadOrPassedOver) {
-  const auto names = read_config(good, Span{}).told;
+  const auto names = read_config(good).told;
   const auto list = [&](const std::string& entries, const std::string& more = "") {
     return parse_listing(R"({"generation":9,"reset":false,)" + more + R"("instances":[)" + entries + "]}",
-                         names, Span::millis(1000));
+                         names);
   };
   const std::string one =
       R"({"instanceId":"s-1","hostPort":"127.0.0.1:7","zone":"hall 2","machineType":"decode","cell":1,)"
@@ -122,7 +123,7 @@
   EXPECT_EQ(l.engines[0].entry.lifecycle, Lifecycle::Draining);
   EXPECT_EQ(l.engines[0].entry.kind, 1);
   EXPECT_EQ(l.engines[0].entry.zone, 1);
-  EXPECT_EQ(l.engines[0].entry.started, Instant::at(Span::millis(4000)));
+  EXPECT_EQ(l.engines[0].started_at, Span::millis(5000));
   EXPECT_EQ(l.engines[0].entry.engine, engine_id("s-1"));
   // Of what has gone, no more than its name is needed.
   EXPECT_EQ(std::get<Listing>(list(R"({"instanceId":"s-1","lifecycle":"Gone"})")).engines.size(), 1u);
@@ -137,7 +138,41 @@
   }
   for (const char* text : {"", "[]", "{", R"({"generation":1})", R"({"instances":[]})",
                            R"({"generation":-1,"instances":[]})", R"({"generation":1,"instances":{}})"})
-    EXPECT_TRUE(std::holds_alternative<std::string>(parse_listing(text, names, Span{}))) << text;
+    EXPECT_TRUE(std::holds_alternative<std::string>(parse_listing(text, names))) << text;
+}
+
+// Spans are of real time, whatever the wall clock says: it may be off by an hour either way.
+TEST(StartTimes, AWallClockThatIsOffMovesNoStartBeyondWhatWasHeard) {
+  constexpr Span hour = Span::millis(3600000), true_offset = Span::millis(1700000000000);
+  const EngineId known = engine_id("s-1"), fresh = engine_id("s-2");
+  const auto at = [](int seconds) { return Instant::at(Span::millis(1000LL * seconds)); };
+  const auto wall = [&](int seconds) { return true_offset + Span::millis(1000LL * seconds); };
+  for (const Span off : {Span{}, hour, Span{} - hour}) {
+    StartTimes starts(true_offset + off);
+    starts.heard(wall(90), at(100));
+    const Instant first = starts.started(known, wall(90), at(100), std::nullopt);
+    EXPECT_LE(first, at(100)) << off.as_millis();
+    // Told of at 200 s, and not yet heard of at 199 s: it has just started, whatever the wall clock says.
+    starts.heard(wall(199), at(200));
+    const Instant second = starts.started(fresh, wall(199), at(200), at(199));
+    EXPECT_LE(second, at(200)) << off.as_millis();
+    EXPECT_GE(second, at(196)) << off.as_millis();
+    // The same start is told again: it is the same instant, or the engine would count as restarted.
+    EXPECT_EQ(starts.started(known, wall(90), at(300), at(299)), first);
+    EXPECT_EQ(starts.started(fresh, wall(199), at(300), at(299)), second);
+    // A restart is another one.
+    starts.heard(wall(398), at(400));
+    EXPECT_GE(starts.started(known, wall(398), at(400), at(399)), at(396)) << off.as_millis();
+  }
+}
+
+TEST(StartTimes, WithAClockThatIsRightTheRegistrysWordCounts) {
+  StartTimes starts(Span::millis(500000));
+  const EngineId engine = engine_id("s-1");
+  const Instant now = Instant::at(Span::millis(60000));
+  starts.heard(Span::millis(500000 + 45000), now);
+  EXPECT_EQ(starts.started(engine, Span::millis(500000 + 45000), now, std::nullopt),
+            Instant::at(Span::millis(45000)));
 }
 
 TEST(Registry, AnIdIsMadeOfTheNameAlone) {
@@ -148,12 +183,12 @@
 }
 
 RC_GTEST_PROP(Registry, NoBytesDoHarm, (const std::string& bytes)) {
-  static const auto names = read_config(good, Span{}).told;
-  parse_listing(bytes, names, Span{});
+  static const auto names = read_config(good).told;
+  parse_listing(bytes, names);
   std::string broken = good;
   if (!bytes.empty()) broken[static_cast<unsigned char>(bytes[0]) * 7u % broken.size()] = bytes.back();
   try {
-    read_config(broken, Span{});
+    read_config(broken);
   } catch (const ConfigError&) {}
   kept_tokens(bytes), opening_of(bytes);
 }
@@ -167,7 +202,7 @@
 }
 
 TEST(Request, ReadsTheExample) {
-  const auto names = read_config(good, Span{}).told;
+  const auto names = read_config(good).told;
   auto h = headers();
   const auto w = std::get<Wanted>(read_request(h, 100, names));
   EXPECT_EQ(w.session, 0x7f3a9c21e0b4d655ULL);
@@ -184,7 +219,7 @@
 }
 
 TEST(Request, WhatCantBeMeantIsRefused) {
-  const auto names = read_config(good, Span{}).told;
+  const auto names = read_config(good).told;
   const std::vector<std::pair<std::size_t, std::string>> wrong = {{0, ""},
                                                                   {0, "a/b"},
                                                                   {0, std::string(200, 'a')},
--- a/tests/program/sites_test.cpp
+++ b/tests/program/sites_test.cpp
@@ -16,7 +16,7 @@
   std::ifstream in(std::string(CALICOGRADE_SITES) + "/" + name + "/config.json");
   std::stringstream text;
   text << in.rdbuf();
-  return platform::read_config(text.str(), Span{});
+  return platform::read_config(text.str());
 }
 
 const ModelRoute& route_of(const platform::NodeConfig& config, const std::string& name) {
