--- a/tests/program/keep_test.cpp
+++ b/tests/program/keep_test.cpp
@@ -93,6 +93,8 @@
   };
   int fail_at = -1;  // this call fails, and all after it: the power is gone
   int calls = 0;
+  int failures = 0;  // so many calls from now on fail, and then no more: the disk was full for a while
+  std::set<std::string> broken;  // files that can't be read for now
 
   std::string create(const std::string& n) override {
     return step([&] {
@@ -128,6 +130,7 @@
   std::optional<std::string> read(const std::string& n, std::string& wrong) override {
     const auto it = now_.find(n);
     if (it == now_.end()) return wrong = "not there", std::nullopt;
+    if (broken.contains(n)) return wrong = "cannot read " + n + ": Input/output error", std::nullopt;
     return it->second->bytes;
   }
   std::size_t pending() const { return changes_.size(); }
@@ -159,6 +162,7 @@
  private:
   std::string step(const std::function<void()>& what) {
     if (fail_at >= 0 && calls++ >= fail_at) return "no power";
+    if (failures > 0) return --failures, "no space";
     what();
     return {};
   }
@@ -289,6 +293,41 @@
   EXPECT_THROW(Folder("/nowhere/at/all"), std::runtime_error);
 }
 
+TEST(KeepStore, AFailureAtTheStartIsNotForLife) {
+  for (int failures = 1; failures <= 3; ++failures) {
+    FakeDisk disk;
+    disk.failures = failures;
+    Store store(disk);
+    store.load("f");
+    EXPECT_NE(store.begun(), "");
+    disk.failures = 0;
+    EXPECT_EQ(store.mark({{"pay", "k", 10, true, false, false}}), "") << failures;
+    Store again(disk);
+    EXPECT_TRUE(holds(again.load("f").state, "k")) << failures;
+  }
+}
+
+TEST(KeepStore, WhatCanNotBeReadForNowIsNotSetAsideAndIsMissed) {
+  FakeDisk disk;
+  Store store(disk);
+  store.load("f");
+  std::uint64_t n = 0;
+  ASSERT_EQ(store.rotate(n), "");
+  ASSERT_EQ(store.snapshot(n, sample(1)), "");
+  ASSERT_EQ(store.mark({{"pay", "k", 10, true, false, false}}), "");
+  const auto names = disk.list();
+  disk.broken = std::set<std::string>(names.begin(), names.end());
+  Store blind(disk);
+  blind.load("f");
+  for (const auto& name : names) {
+    const auto now = disk.list();
+    EXPECT_NE(std::find(now.begin(), now.end(), name), now.end()) << name;
+  }
+  disk.broken.clear();
+  Store again(disk);
+  EXPECT_TRUE(holds(again.load("f").state, "k"));
+}
+
 // ---- ageing
 
 TEST(KeepAgeing, ClocksThatWereSetAndDaysAwayAreNotBelieved) {
--- a/tests/program/net_faults_test.cpp
+++ b/tests/program/net_faults_test.cpp
@@ -5,10 +5,14 @@
 
 #include <boost/asio/error.hpp>
 #include <cerrno>
+#include <filesystem>
+#include <mutex>
+#include <set>
 #include <thread>
 
 #include "faults/fault_library.hpp"
 #include "front/hangups.hpp"
+#include "front/keeping.hpp"
 #include "front/lobby.hpp"
 #include "net/clock.hpp"
 #include "net/local_error.hpp"
@@ -212,5 +216,39 @@
   EXPECT_EQ(second->wait(-1, soon()), Waited::PeerLeft);
 }
 
+// A mark that failed is not kept by the one behind it that did not.
+TEST(KeepFaults, WhatIsSaidToBeOnDiskIsFoundThere) {
+  const auto folder = std::filesystem::temp_directory_path() / ("keep_faults_" + std::to_string(getpid()));
+  log::Log quiet("/dev/null", log::Level::Error);
+  for (int round = 0; round < 40; ++round) {
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    std::set<std::string> acknowledged;
+    std::mutex mutex;
+    {
+      front::Keeping keeping({folder.string(), Span::millis(600000)}, "f", quiet);
+      std::vector<std::thread> clients;
+      for (int c = 0; c < 48; ++c)
+        clients.emplace_back([&, c] {
+          for (int k = 0; k < 6; ++k) {
+            const std::string key = std::to_string(c) + "." + std::to_string(k);
+            if (k % 3 == 0) fail_next(c % 2 == 0 ? "write" : "fdatasync", c % 4 < 2 ? EIO : ENOSPC, 1);
+            if (!keeping.mark({"pay", key, 1000, true, false, false})) continue;
+            const std::lock_guard lock(mutex);
+            acknowledged.insert(key);
+          }
+        });
+      for (auto& client : clients) client.join();
+    }
+    fail_next("write", 0, 0), fail_next("fdatasync", 0, 0);
+    keep::Folder found(folder.string());
+    keep::Store store(found);
+    std::set<std::string> kept;
+    for (const auto& m : store.load("f").state.marks) kept.insert(m.key);
+    for (const auto& key : acknowledged) ASSERT_TRUE(kept.contains(key)) << key << " in round " << round;
+  }
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace calicograde::net
