What is kept outlasts disk errors; marks are timed by the boot clock; silent attempts given up

Marks carry the boot clock: a wall clock set back by less than the time away made a window seem open that was over.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -490,9 +490,24 @@
     }
     if (keeping)
       for (const auto& m : keeping->found().marks) {
-        const auto aged = keep::age(m, keeping->wall_at_start(), keeping->at_start());
+        const auto aged = keep::age(m, keeping->moment_at_start(), keeping->at_start());
         keys.restore({m.route, m.key, aged.first, aged.unsure, true});
       }
+    // Which keys ran is not known then: for as long as engines may have forgotten those, none is taken for
+    // new.
+    if (keeping && keeping->found_incomplete()) keys.doubt_unknown(keeping->at_start() + longest_window(s));
+  }
+
+  static Span longest_window(const settings::Front& s) {
+    Span longest;
+    for (const auto& p : s.pools)
+      for (const auto& r : p.routing.routes) longest = std::max(longest, r.dedupe_window);
+    return longest;
+  }
+
+  static keep::Mark mark_of(const std::string& route, const std::string& key, const keep::Moment& first,
+                            bool ran, bool unsure, bool over) {
+    return {route, key, first.wall_ms, ran, unsure, over, first.boot_ms, first.boot};
   }
 
   // ---- the owner of the modules
@@ -635,12 +650,12 @@
     }
     {
       const std::lock_guard lock(tickets_mutex);
-      const std::int64_t wall = wall_now_ms();
+      const keep::Moment moment = keep::moment_now();
       const Instant now = clock_now();
-      for (auto& k : keys.all())
-        out.marks.push_back({std::move(k.route), std::move(k.key),
-                             wall - static_cast<std::int64_t>((now - k.first).as_millis()), true, k.unsure,
-                             k.over});
+      for (const auto& k : keys.all()) {
+        const auto ago = static_cast<std::int64_t>((now - k.first).as_millis());
+        out.marks.push_back(mark_of(k.route, k.key, moment.minus_millis(ago), true, k.unsure, k.over));
+      }
     }
     core.log_.line(Level::Debug, "state copied", {{"longest_slice_ms", longest.as_millis()}});
     return true;
@@ -861,9 +876,9 @@
     return connect_to(p, at, until, facts);
   }
 
-  // A new connection. Failures of this machine are tried again for a moment, and then told to the module, which
-  // decides anew; a network that says that the engine can't be reached is asked again for as long as a connection
-  // may take: a route may be missing for a moment.
+  // A new connection. Failures of this machine are tried again for a moment, and then told to the module,
+  // which decides anew; a network that says that the engine can't be reached is asked again for as long as a
+  // connection may take: a route may be missing for a moment.
   std::optional<http::ClientConnection> connect_to(PoolParts& p, const net::Address& at, Instant until,
                                                    SendFacts& facts) {
     using N = net::ConnectEnd;
@@ -999,13 +1014,13 @@
     return false;
   }
 
-  // The head of an attempt's answer. Where a state waits for the attempt, it is given up early if the engine's
-  // machine has acknowledged nothing: its connection has fallen silent, and the state waits all the same.
+  // The head of an attempt's answer. It is given up early if the engine's machine has not acknowledged all of
+  // it: its connection has fallen silent, and what is held for the inference, be it by a read whose answer
+  // was lost, waits all the same.
   static BodyEnd read_head(const PoolParts& p, const StartSend& s, http::ClientConnection& link,
                            http::Response& head) {
-    const Instant acknowledged_by =
-        clock_now() + p.settings.routing.pin_limit * acknowledged_part_of_pin;
-    if (s.leg == Leg::Write && acknowledged_by < s.until) {
+    const Instant acknowledged_by = clock_now() + p.settings.routing.pin_limit * acknowledged_part_of_pin;
+    if (p.settings.routing.pin_limit > Span{} && acknowledged_by < s.until) {
       const BodyEnd end = link.read_head(head, acknowledged_by);
       if (end != BodyEnd::TimedOut || !link.stream().acknowledged().value_or(true)) return end;
     }
@@ -1467,7 +1482,8 @@
   // On disk before anything can run under the key: a restart must not forget it (rule 2). Where it can't be,
   // the front serves as one that keeps nothing.
   if (inside_->keeping && rules.effect == Effect::Deduped && !ticket->asked().key_taken)
-    inside_->keeping->mark({route.name, ticket->asked().dedupe_key, wall_now_ms(), true, false, false});
+    inside_->keeping->mark(
+        Inside::mark_of(route.name, ticket->asked().dedupe_key, keep::moment_now(), true, false, false));
   if (inside_->queue.offer({route.pool, Taken{ticket, a}})) return {Why::Taken, ticket};
   closed(*ticket);
   if (rules.effect == Effect::Deduped && !ticket->asked().key_taken)
@@ -1496,7 +1512,9 @@
   inside_->keys.ended(route, key, ran, first, unsure);
   if (!inside_->keeping) return;
   const std::int64_t ago = static_cast<std::int64_t>((clock_now() - first).as_millis());
-  inside_->keeping->mark_later({route, key, ran ? wall_now_ms() - ago : wall_now_ms(), ran, unsure, true});
+  const keep::Moment now = keep::moment_now();
+  inside_->keeping->mark_later(
+      Inside::mark_of(route, key, ran ? now.minus_millis(ago) : now, ran, unsure, true));
 }
 
 void Core::set_prompt(Asked& a, Prompt prompt, std::size_t opening_bytes) const {
--- a/src/front/keeping.cpp
+++ b/src/front/keeping.cpp
@@ -1,5 +1,6 @@
 #include "front/keeping.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 #include "net/clock.hpp"
@@ -12,17 +13,12 @@
 
 constexpr std::chrono::milliseconds mark_within{250};
 constexpr std::size_t marks_waiting = 65536;
+constexpr std::size_t failures_remembered = 65536;  // runs of marks
 
 }  // namespace
 
-std::int64_t wall_now_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 Keeping::Keeping(const settings::Keep& settings, const std::string& front, log::Log& log)
-    : settings_(settings), log_(log), wall_(wall_now_ms()), start_(clock_now()) {
+    : settings_(settings), log_(log), moment_(keep::moment_now()), start_(clock_now()) {
   try {
     folder_ = std::make_unique<keep::Folder>(settings_.folder);
     store_ = std::make_unique<keep::Store>(*folder_);
@@ -35,7 +31,10 @@
   for (const auto& note : loaded_.notes)
     log_.line(log::Level::Warn, "state", {{"folder", settings_.folder}, {"what", note}});
   if (!store_->begun().empty()) tell(store_->begun());
-  if (loaded_.any) away_ = keep::away(loaded_.state.wall_ms, wall_, {});
+  if (loaded_.any) {
+    const keep::State& kept = loaded_.state;
+    away_ = keep::away({kept.wall_ms, kept.boot_ms, kept.boot}, moment_, {});
+  }
   // What the clock can't vouch for is not used, but for the marks.
   if (!away_) loaded_.state.pools.clear();
   if (loaded_.any)
@@ -66,7 +65,12 @@
   const std::uint64_t mine = ++asked_;
   changed_.notify_all();
   synced_.wait_for(lock, mark_within, [&] { return done_ >= mine || stopping_; });
-  return kept_ >= mine;
+  return done_ >= mine && !failed(mine);
+}
+
+bool Keeping::failed(std::uint64_t number) const {
+  return std::any_of(failed_.begin(), failed_.end(),
+                     [&](const auto& range) { return number > range.first && number <= range.second; });
 }
 
 void Keeping::mark_later(const keep::Mark& m) {
@@ -92,8 +96,10 @@
       tell(wrong);
     }
     lock.lock();
+    if (!wrong.empty()) failed_.emplace_back(done_, upto);
+    // Nobody waits for longer than mark_within, in which no more than these can fail.
+    if (failed_.size() > failures_remembered) failed_.pop_front();
     done_ = upto;
-    if (wrong.empty()) kept_ = upto;
     synced_.notify_all();
   }
 }
@@ -125,7 +131,8 @@
     if (!wrong.empty()) return false;
   }
   keep::State state;
-  state.front = loaded_.state.front, state.wall_ms = wall_now_ms();
+  state.front = loaded_.state.front, state.wall_ms = keep::moment_now().wall_ms;
+  state.boot_ms = keep::moment_now().boot_ms, state.boot = keep::moment_now().boot;
   if (!collect_(state)) return false;
   // Marks wait while it is written; those that wait too long are let go without (mark() says so).
   const std::size_t marks = state.marks.size();
--- a/src/front/keeping.hpp
+++ b/src/front/keeping.hpp
@@ -2,10 +2,12 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "keep/ageing.hpp"
@@ -23,10 +25,12 @@
   Keeping(const settings::Keep& settings, const std::string& front, log::Log& log);
   ~Keeping();
 
-  // As it was found at the start, with the wall time then and this start's clock.
+  // As it was found at the start, with the time then and this start's clock.
   const keep::State& found() const { return loaded_.state; }
+  // Marks may be missing from it: something could not be read.
+  bool found_incomplete() const { return loaded_.incomplete; }
   std::optional<Span> away() const { return away_; }
-  std::int64_t wall_at_start() const { return wall_; }
+  const keep::Moment& moment_at_start() const { return moment_; }
   Instant at_start() const { return start_; }
 
   // On disk when it returns true; false where that took too long or can't be.
@@ -39,6 +43,7 @@
 
  private:
   void run_marks();
+  bool failed(std::uint64_t number) const;
   void run_snapshots();
   bool snapshot();
   void tell(const std::string& wrong);  // once a change
@@ -51,17 +56,17 @@
   std::string told_;
   keep::Loaded loaded_;
   std::optional<Span> away_;
-  std::int64_t wall_ = 0;
+  const keep::Moment moment_;
   Instant start_;
   std::mutex mutex_;
   std::condition_variable changed_, synced_;
   std::vector<keep::Mark> waiting_;
-  std::uint64_t asked_ = 0, done_ = 0, kept_ = 0;  // marks: asked for, through, and on disk up to here
+  std::uint64_t asked_ = 0, done_ = 0;  // marks: asked for, and through up to here
+  // Of those that are through, the numbers of marks that could not be kept: from, up to.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> failed_;
   bool stopping_ = false;
   std::function<bool(keep::State&)> collect_;
   std::thread marker_, snapper_;
 };
 
-std::int64_t wall_now_ms();
-
 }  // namespace calicograde::front
--- a/src/front/keys.cpp
+++ b/src/front/keys.cpp
@@ -11,6 +11,7 @@
                            Span window) {
   const auto [it, fresh] = book_.try_emplace({route, key});
   Entry& e = it->second;
+  if (fresh && now < doubted_until_) return book_.erase(it), Says::Unsure;
   if (fresh) {
     e.first = now;
     return Says::Take;
--- a/src/front/keys.hpp
+++ b/src/front/keys.hpp
@@ -39,6 +39,8 @@
   };
   std::vector<Kept> all() const;
   void restore(const Kept& kept);
+  // Until then a key that is not known may have run all the same, and counts as unsure.
+  void doubt_unknown(Instant until) { doubted_until_ = until; }
 
  private:
   using Name = std::pair<std::string, std::string>;
@@ -48,6 +50,7 @@
   };
   const std::size_t most_;
   std::map<Name, Entry> book_;
+  Instant doubted_until_;
   std::deque<Name> ran_;  // in the order in which they ended
 };
 
--- a/src/keep/disk.cpp
+++ b/src/keep/disk.cpp
@@ -20,6 +20,13 @@
   return std::string("cannot ") + what + " " + name + ": " + std::strerror(errno);
 }
 
+int again_if_interrupted(auto call) {
+  int done = 0;
+  do done = call();
+  while (done != 0 && errno == EINTR);
+  return done;
+}
+
 }  // namespace
 
 Folder::Folder(std::string path, bool reading) : path_(std::move(path)) {
@@ -54,8 +61,10 @@
 
 std::string Folder::sync(const std::string& name) {
   const auto it = open_.find(name);
-  if (it == open_.end() || ::fdatasync(it->second.get()) != 0) return cause("sync", path_ + "/" + name);
-  return {};
+  if (it == open_.end()) return "cannot sync " + name + ": it was not created";
+  return again_if_interrupted([&] { return ::fdatasync(it->second.get()); }) == 0
+             ? std::string()
+             : cause("sync", path_ + "/" + name);
 }
 
 std::string Folder::rename(const std::string& from, const std::string& to) {
@@ -73,13 +82,17 @@
 }
 
 std::string Folder::sync_folder() {
-  return ::fsync(folder_.get()) == 0 ? std::string() : cause("sync", path_);
+  return again_if_interrupted([&] { return ::fsync(folder_.get()); }) == 0 ? std::string()
+                                                                           : cause("sync", path_);
 }
 
-std::vector<std::string> Folder::list() {
+std::optional<std::vector<std::string>> Folder::list(std::string& wrong) {
   std::vector<std::string> out;
   const std::unique_ptr<DIR, int (*)(DIR*)> dir(::opendir(path_.c_str()), ::closedir);
-  while (const dirent* e = dir ? ::readdir(dir.get()) : nullptr) out.emplace_back(e->d_name);
+  if (!dir) return wrong = cause("list", path_), std::nullopt;
+  errno = 0;
+  while (const dirent* e = ::readdir(dir.get())) out.emplace_back(e->d_name);
+  if (errno != 0) return wrong = cause("list", path_), std::nullopt;
   std::sort(out.begin(), out.end());
   return out;
 }
--- a/src/keep/disk.hpp
+++ b/src/keep/disk.hpp
@@ -22,7 +22,7 @@
   virtual std::string rename(const std::string& from, const std::string& to) = 0;
   virtual std::string remove(const std::string& name) = 0;
   virtual std::string sync_folder() = 0;
-  virtual std::vector<std::string> list() = 0;
+  virtual std::optional<std::vector<std::string>> list(std::string& wrong) = 0;
   virtual std::optional<std::string> read(const std::string& name, std::string& wrong) = 0;
 };
 
@@ -37,7 +37,7 @@
   std::string rename(const std::string& from, const std::string& to) override;
   std::string remove(const std::string& name) override;
   std::string sync_folder() override;
-  std::vector<std::string> list() override;
+  std::optional<std::vector<std::string>> list(std::string& wrong) override;
   std::optional<std::string> read(const std::string& name, std::string& wrong) override;
 
  private:
--- a/src/keep/state.cpp
+++ b/src/keep/state.cpp
@@ -40,7 +40,7 @@
 
 flatbuffers::Offset<fb::Mark> put_mark(flatbuffers::FlatBufferBuilder& b, const Mark& m) {
   return fb::CreateMark(b, b.CreateString(m.route), b.CreateString(m.key), m.first_ms, m.ran, m.unsure,
-                        m.over);
+                        m.over, m.first_boot_ms, b.CreateString(m.boot));
 }
 Mark take_mark(const fb::Mark& m) {
   return {m.route() ? m.route()->str() : "",
@@ -48,7 +48,9 @@
           m.first_ms(),
           m.ran(),
           m.unsure(),
-          m.over()};
+          m.over(),
+          m.first_boot_ms(),
+          m.boot() ? m.boot()->str() : ""};
 }
 
 template <class T>
@@ -117,7 +119,8 @@
   put(out, format), put(out, static_cast<std::uint32_t>(2 + s.pools.size()));
   {
     flatbuffers::FlatBufferBuilder b;
-    b.Finish(fb::CreateAbout(b, b.CreateString(s.front), s.wall_ms, s.generation));
+    b.Finish(fb::CreateAbout(b, b.CreateString(s.front), s.wall_ms, s.generation, s.boot_ms,
+                             b.CreateString(s.boot)));
     section(out, about, view(b));
   }
   {
@@ -171,6 +174,7 @@
       const auto* a = verified<fb::About>(payload);
       if (!a) return wrong(where + " can't be read");
       s.front = a->front() ? a->front()->str() : "", s.wall_ms = a->wall_ms(), s.generation = a->generation();
+      s.boot_ms = a->boot_ms(), s.boot = a->boot() ? a->boot()->str() : "";
       told = true;
     } else if (kind == marks) {
       const auto* m = verified<fb::Marks>(payload);
--- a/src/keep/state.hpp
+++ b/src/keep/state.hpp
@@ -16,6 +16,8 @@
   std::int64_t first_ms = 0;  // wall time, of the first send that may have run
   // Over: the try has ended, and `ran` tells whether it may have run; else it is in work, and may.
   bool ran = true, unsure = false, over = false;
+  std::int64_t first_boot_ms = 0;  // the same on the machine's boot clock,
+  std::string boot = {};           // and which start of the machine that is; empty = not known
   bool operator==(const Mark&) const = default;
 };
 struct EngineMemory {
@@ -43,6 +45,8 @@
   std::string front;
   std::int64_t wall_ms = 0;
   std::uint64_t generation = 0;
+  std::int64_t boot_ms = 0;  // as wall_ms, on the machine's boot clock
+  std::string boot = {};
   std::vector<Mark> marks;
   std::vector<PoolMemory> pools;
 };
--- a/src/keep/store.hpp
+++ b/src/keep/store.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,6 +19,7 @@
 struct Loaded {
   State state;                     // empty where nothing could be read
   bool any = false;                // a snapshot was
+  bool incomplete = false;         // something is there that could not be read now: marks may be missing
   std::vector<std::string> notes;  // what was set aside, cut off or refused, each with its reason
 };
 
@@ -26,7 +28,7 @@
   explicit Store(Disk& disk) : disk_(disk) {}
 
   // Reads what is there, sets aside what is damaged, and begins a log of its own. `wrong` of begun(): why it
-  // could not; nothing is kept then, and the front serves all the same.
+  // could not; it is tried again with each mark and snapshot, and the front serves all the same meanwhile.
   Loaded load(const std::string& front);
   const std::string& begun() const { return wrong_; }
 
@@ -43,6 +45,8 @@
   static std::string snap_name(std::uint64_t n);
   static std::string log_name(std::uint64_t n);
   std::string begin_log(std::uint64_t n);
+  std::string begin_first_log();  // where load() could not
+  std::optional<std::string> read(const std::string& name, std::string& wrong);
 
   Disk& disk_;
   std::string wrong_ = "it was not loaded";
--- a/src/soak/node_process.hpp
+++ b/src/soak/node_process.hpp
@@ -51,7 +51,7 @@
   mutable std::mutex mutex_;
   pid_t pid_ = 0;
   int generation_ = 0;
-  bool killed_ = false;
+  bool killed_ = false, overdue_ = false;  // overdue: killed since it did not end after SIGTERM
   std::optional<net::Address> address_;
   std::optional<Instant> terminated_;
 };
--- a/tests/program/admin_test.cpp
+++ b/tests/program/admin_test.cpp
@@ -321,7 +321,7 @@
   EXPECT_TRUE(until([&] {
     keep::Folder disk(kept, true);
     std::string wrong;
-    for (const auto& name : disk.list()) {
+    for (const auto& name : disk.list(wrong).value_or(std::vector<std::string>{})) {
       if (!name.ends_with(".snap")) continue;
       const auto bytes = disk.read(name, wrong);
       const auto state = bytes ? keep::decode(*bytes).state : std::nullopt;
--- a/tests/program/keep_test.cpp
+++ b/tests/program/keep_test.cpp
@@ -93,7 +93,8 @@
   };
   int fail_at = -1;  // this call fails, and all after it: the power is gone
   int calls = 0;
-  int failures = 0;  // so many calls from now on fail, and then no more: the disk was full for a while
+  bool unlisted = false;  // the folder can't be listed for now
+  int failures = 0;       // so many calls from now on fail, and then no more: the disk was full for a while
   std::set<std::string> broken;  // files that can't be read for now
 
   std::string create(const std::string& n) override {
@@ -122,7 +123,8 @@
   std::string sync_folder() override {
     return step([&] { durable_ = now_, changes_.clear(); });
   }
-  std::vector<std::string> list() override {
+  std::optional<std::vector<std::string>> list(std::string& wrong) override {
+    if (unlisted) return wrong = "cannot list: Input/output error", std::nullopt;
     std::vector<std::string> out;
     for (const auto& [n, f] : now_) out.push_back(n);
     return out;
@@ -170,6 +172,11 @@
   std::vector<Change> changes_;
 };
 
+std::vector<std::string> names_of(Disk& disk) {
+  std::string wrong;
+  return disk.list(wrong).value_or(std::vector<std::string>{});
+}
+
 bool holds(const State& s, const std::string& key) {
   return std::any_of(s.marks.begin(), s.marks.end(), [&](const Mark& m) { return m.key == key; });
 }
@@ -233,7 +240,7 @@
     ASSERT_EQ(store.snapshot(n, sample(g)), "");
   }
   std::string newest;
-  for (const auto& n : disk.list())
+  for (const auto& n : names_of(disk))
     if (n.ends_with(".snap")) newest = n;
   std::string bytes = *disk.read(newest, bytes), wrong;
   bytes[40] = static_cast<char>(bytes[40] ^ 1);
@@ -315,12 +322,12 @@
   ASSERT_EQ(store.rotate(n), "");
   ASSERT_EQ(store.snapshot(n, sample(1)), "");
   ASSERT_EQ(store.mark({{"pay", "k", 10, true, false, false}}), "");
-  const auto names = disk.list();
+  const auto names = names_of(disk);
   disk.broken = std::set<std::string>(names.begin(), names.end());
   Store blind(disk);
-  blind.load("f");
+  EXPECT_TRUE(blind.load("f").incomplete);
   for (const auto& name : names) {
-    const auto now = disk.list();
+    const auto now = names_of(disk);
     EXPECT_NE(std::find(now.begin(), now.end(), name), now.end()) << name;
   }
   disk.broken.clear();
@@ -328,18 +335,63 @@
   EXPECT_TRUE(holds(again.load("f").state, "k"));
 }
 
+// A log of an earlier life must not be begun anew, and so emptied, because nobody could see that it is there.
+TEST(KeepStore, AFolderThatCanNotBeListedLosesNothing) {
+  FakeDisk disk;
+  Store store(disk);
+  store.load("f");
+  ASSERT_EQ(store.mark({{"pay", "k", 10, true, false, false}}), "");
+  disk.unlisted = true;
+  Store blind(disk);
+  EXPECT_TRUE(blind.load("f").incomplete);
+  EXPECT_NE(blind.mark({{"pay", "lost", 20, true, false, false}}), "");
+  disk.unlisted = false;
+  EXPECT_EQ(blind.mark({{"pay", "later", 30, true, false, false}}), "");
+  Store again(disk);
+  const auto found = again.load("f");
+  EXPECT_FALSE(found.incomplete);
+  EXPECT_TRUE(holds(found.state, "k") && holds(found.state, "later"));
+}
+
+TEST(KeyBook, WhileMarksAreMissingAnUnknownKeyMayHaveRun) {
+  front::KeyBook keys(100);
+  const auto ask = [&](int ms) { return keys.ask(at(ms), "pay", "k", DedupeGroup::All, Span::millis(5000)); };
+  keys.doubt_unknown(at(5000));
+  EXPECT_EQ(ask(4999), front::KeyBook::Says::Unsure);
+  EXPECT_EQ(ask(5000), front::KeyBook::Says::Take);
+}
+
 // ---- ageing
 
+// A moment by a wall clock alone, as an earlier format told it.
+Moment wall(std::int64_t ms) { return {ms, 0, ""}; }
+
 TEST(KeepAgeing, ClocksThatWereSetAndDaysAwayAreNotBelieved) {
-  EXPECT_EQ(away(1000000, 1005000, {}), Span::millis(5000));
-  EXPECT_FALSE(away(1000000, 999999, {}));                     // back
-  EXPECT_FALSE(away(1000000, 1000000 + 2 * 3600 * 1000, {}));  // too long
-  EXPECT_FALSE(away(0, 1000000, {}));
+  EXPECT_EQ(away(wall(1000000), wall(1005000), {}), Span::millis(5000));
+  EXPECT_FALSE(away(wall(1000000), wall(999999), {}));                     // back
+  EXPECT_FALSE(away(wall(1000000), wall(1000000 + 2 * 3600 * 1000), {}));  // too long
+  EXPECT_FALSE(away(wall(0), wall(1000000), {}));
   const Instant now = at(5000);
-  EXPECT_EQ(age({"r", "k", 900000, true, false, true}, 1000000, now).first, now - Span::millis(100000));
-  EXPECT_FALSE(age({"r", "k", 900000, true, false, true}, 1000000, now).unsure);
-  EXPECT_TRUE(age({"r", "k", 1100000, true, false, true}, 1000000, now).unsure);  // from the future
-  EXPECT_TRUE(age({"r", "k", 900000, true, true, true}, 1000000, now).unsure);
+  EXPECT_EQ(age({"r", "k", 900000, true, false, true}, wall(1000000), now).first, now - Span::millis(100000));
+  EXPECT_FALSE(age({"r", "k", 900000, true, false, true}, wall(1000000), now).unsure);
+  EXPECT_TRUE(age({"r", "k", 1100000, true, false, true}, wall(1000000), now).unsure);  // from the future
+  EXPECT_TRUE(age({"r", "k", 900000, true, true, true}, wall(1000000), now).unsure);
+}
+
+// Set back by less than the time away, a wall clock would make a window seem open that is over.
+TEST(KeepAgeing, WithinOneStartOfTheMachineTheWallClockDoesNotCount) {
+  const Instant now = at(500000);
+  const Moment kept{1000000, 70000, "boot-1"};
+  Mark mark{"pay", "k", kept.wall_ms, true, false, true, kept.boot_ms, kept.boot};
+  for (const std::int64_t step : {0, -290000, -3600000, 3600000}) {
+    const Moment found{kept.wall_ms + 300000 + step, kept.boot_ms + 300000, "boot-1"};
+    EXPECT_EQ(age(mark, found, now).first, now - Span::millis(300000)) << step;
+    EXPECT_FALSE(age(mark, found, now).unsure) << step;
+    EXPECT_EQ(away(kept, found, {}), Span::millis(300000)) << step;
+    // After another start of the machine nothing vouches for the wall clock.
+    const Moment anew{found.wall_ms, 1000, "boot-2"};
+    EXPECT_TRUE(age(mark, anew, now).unsure) << step;
+  }
 }
 
 TEST(KeepAgeing, AnotherProcessIsNotBelievedAndTextsGetOlderByWhatWasTakenIn) {
