One place allows: attempts, places, releases and closes ask front/permissions in the act

Every path (run_send before and after its connection, ask_place, release_whole, the end of a client's connection) asks the same pure functions of one view of request, client, engine, clock; a denial is counted by reason and logged with the id at debug.

--- a/src/engines/completions.hpp
+++ b/src/engines/completions.hpp
@@ -73,6 +73,7 @@
   enum class Connect { Connected, Refused, TimedOut, Unreachable, Local } connect = Connect::Connected;
   bool cancelled = false;    // this front called it off
   bool not_sent = false;     // no thread or no time was left to send it
+  bool turned_away = false;  // it was not written, since its engine drains or has gone
   bool any_written = false;  // one byte or more may have reached the engine
   bool asked_whole = false;  // its last byte was written
   bool arrived = false;      // the engine's machine has all of it, as its answer or its kernel shows
--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -41,6 +41,20 @@
   return n;
 }
 
+std::vector<std::pair<std::string, Span>> Cases::held_too_long(Instant now, Span limit) {
+  std::vector<std::pair<std::string, Span>> out;
+  for (auto& [inf, c] : cases_) {
+    if (c.any_out() || (c.holdings.empty() && !c.loose)) {
+      c.waits_since.reset();
+      continue;
+    }
+    if (!c.waits_since) c.waits_since = now;
+    if (now - *c.waits_since <= limit || std::exchange(c.told_too_long, true)) continue;
+    out.emplace_back(c.id, now - *c.waits_since);
+  }
+  return out;
+}
+
 std::optional<Event> Cases::take(Instant now, const Arrived& arrived, std::string id) {
   Case c;
   c.id = std::move(id);
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -119,6 +119,9 @@
   bool is_whole(InfId inf, std::uint8_t send) const;
   bool has(InfId inf) const { return cases_.contains(inf); }
   std::size_t holdings() const;
+  // The ids of those for which something has been held for longer than that with no attempt out, as seen by
+  // calls that come often; each is told once.
+  std::vector<std::pair<std::string, Span>> held_too_long(Instant now, Span limit);
 
  private:
   struct Holding {
@@ -145,6 +148,8 @@
     int places = 0;
     // Where all is let go at once: something may be held that nobody here will take, and where.
     std::optional<EngineId> loose = {};
+    std::optional<Instant> waits_since = {};  // something has been held since then, and nothing was out
+    bool told_too_long = false;
     bool any_out() const;
     bool read_out() const;
   };
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <thread>
 
+#include "front/address_book.hpp"
 #include "front/bounded_queue.hpp"
 #include "front/bounds.hpp"
 #include "front/cases.hpp"
@@ -20,7 +21,9 @@
 #include "front/keeping.hpp"
 #include "front/keys.hpp"
 #include "front/links.hpp"
+#include "front/permissions.hpp"
 #include "front/release_gate.hpp"
+#include "front/send_control.hpp"
 #include "front/workers.hpp"
 #include "membership/membership.hpp"
 #include "net/clock.hpp"
@@ -51,6 +54,10 @@
 // Of one engine, before the next is asked: 99 in 100 answer within 9 ms on days at the brink, the rest never.
 constexpr Span release_answer = Span::millis(25);
 constexpr double acknowledged_part_of_pin = 0.5;  // of the pin limit: what is left serves one more attempt
+// Between a look at the clock and a write a process may be held up for so long.
+constexpr Span held_up_most = Span::millis(150);
+constexpr Span begin_after_leave = Span::millis(100) + held_up_most;
+constexpr Span held_longer = Span::millis(300);  // than the pin limit, is too long
 constexpr Span local_retry_within = Span::millis(40);
 constexpr std::size_t errands_waiting = 65536;
 
@@ -87,116 +94,6 @@
   return "?";
 }
 
-// Whether a send is to stop, and the socket on which it waits. Shared by the send's thread and the modules'
-// owner.
-class SendControl {
- public:
-  // Runs it once the send's last byte is written (true), or once it is sure that none will be (false).
-  void once_written(std::function<void(bool)> what) {
-    std::optional<bool> known;
-    {
-      const std::lock_guard lock(mutex_);
-      if (!(known = written_)) then_.push_back(std::move(what));
-    }
-    if (known) what(*known);
-  }
-  void written(bool whole) {
-    std::vector<std::function<void(bool)>> then;
-    {
-      const std::lock_guard lock(mutex_);
-      if (written_) return;
-      written_ = whole, then = std::exchange(then_, {});
-    }
-    for (const auto& what : then) what(whole);
-  }
-  // Whether it waits for its outcome: asked for later, a place would be nobody's.
-  bool out() const {
-    const std::lock_guard lock(mutex_);
-    return !over_;
-  }
-  void over() {
-    written(false);  // where it was not
-    const std::lock_guard lock(mutex_);
-    over_ = true;
-  }
-  void stop() {
-    const std::lock_guard lock(mutex_);
-    stopped_ = true;
-    if (stream_) stream_->shut();
-  }
-  bool attach(const net::Stream& stream) {
-    const std::lock_guard lock(mutex_);
-    if (!stopped_) stream_ = &stream;
-    return !stopped_;
-  }
-  // From here on a stop changes nothing. False if it was stopped before.
-  bool detach() {
-    const std::lock_guard lock(mutex_);
-    stream_ = nullptr;
-    return !stopped_;
-  }
-  bool stopped() const {
-    const std::lock_guard lock(mutex_);
-    return stopped_;
-  }
-
- private:
-  mutable std::mutex mutex_;
-  const net::Stream* stream_ = nullptr;
-  bool stopped_ = false, over_ = false;
-  std::optional<bool> written_;
-  std::vector<std::function<void(bool)>> then_;
-};
-
-struct Detach {
-  SendControl& control;
-  ~Detach() { control.detach(); }
-};
-
-// Addresses of the engines of one pool, literal; written by the roster's follower, read by the sends.
-class AddressBook {
- public:
-  void set(const EngineId& id, const net::Address& a, bool draining) {
-    const std::lock_guard lock(mutex_);
-    book_[id] = {a, draining};
-  }
-  std::optional<net::Address> find(const EngineId& id) const {
-    const std::lock_guard lock(mutex_);
-    const auto it = book_.find(id);
-    return it == book_.end() ? std::nullopt : std::optional(it->second.at);
-  }
-  // Whether anything new may be asked there: known, and not told to drain.
-  bool may_ask(const EngineId& id) const {
-    const std::lock_guard lock(mutex_);
-    const auto it = book_.find(id);
-    return it != book_.end() && !it->second.draining;
-  }
-  // Keeps only those that are named.
-  void keep(const std::set<EngineId>& named) {
-    const std::lock_guard lock(mutex_);
-    std::erase_if(book_, [&](const auto& entry) { return !named.contains(entry.first); });
-  }
-  std::optional<net::Address> drop(const EngineId& id) {
-    const std::lock_guard lock(mutex_);
-    const auto node = book_.extract(id);
-    return node ? std::optional(node.mapped().at) : std::nullopt;
-  }
-  std::optional<EngineId> named(const std::string& address) const {
-    const std::lock_guard lock(mutex_);
-    for (const auto& [id, listed] : book_)
-      if (net::text_of(listed.at) == address) return id;
-    return std::nullopt;
-  }
-
- private:
-  struct Listed {
-    net::Address at;
-    bool draining = false;
-  };
-  mutable std::mutex mutex_;
-  std::map<EngineId, Listed> book_;
-};
-
 struct Taken {
   std::shared_ptr<Ticket> ticket;
   Arrived what;
@@ -317,6 +214,7 @@
 void Ticket::peer_left() {
   const std::lock_guard lock(mutex_);
   peer_left_ = true;
+  if (!left_at_) left_at_ = clock_now();
   come_.notify_all();
 }
 
@@ -333,6 +231,16 @@
   return std::monostate{};
 }
 
+std::optional<Instant> Ticket::left_at() const {
+  const std::lock_guard lock(mutex_);
+  return left_at_;
+}
+
+int Ticket::writes() const {
+  const std::lock_guard lock(mutex_);
+  return writes_;
+}
+
 bool Ticket::leave() {
   const std::lock_guard lock(mutex_);
   left_ = true;
@@ -538,7 +446,17 @@
         for (const Event& e : events) feed(*p, now, e);
         carry_out(*p);
       }
-      if (now - halls_at >= halls_every) halls_at = now, count_fronts(now);
+      if (now - halls_at >= halls_every) halls_at = now, count_fronts(now), check_holdings(now);
+    }
+  }
+
+  // Whether something has been held for too long with no attempt out.
+  void check_holdings(Instant now) {
+    for (const auto& p : pools) {
+      const Span pin_limit = p->settings.routing.pin_limit;
+      if (pin_limit <= Span{}) continue;
+      for (const auto& [id, held] : p->cases.held_too_long(now, pin_limit + held_longer))
+        core.permissions_.violated(Violation::HeldTooLong, id, held - pin_limit);
     }
   }
 
@@ -924,25 +842,17 @@
   bool run_send(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control, ReleaseGate& gate,
                 Ending& ending) {
     SendFacts facts;
-    bool handed_over = false, turned_away = false;
     const auto at = p.book.find(s.engine);
-    if (!at) facts.connect = SendFacts::Connect::Unreachable;
-    else if (clock_now() >= s.until || control.stopped())
-      facts.not_sent = !control.stopped(), facts.cancelled = control.stopped();
-    else if (auto link = link_for_attempt(p, s, *at, gate, facts)) {
-      // Told meanwhile that it drains or has gone, while the send waited for a thread or its connection:
-      // it counts as turned away, as the engine itself would have said.
-      if (p.book.may_ask(s.engine)) {
-        handed_over = talk(p, s, ticket, control, *at, *link, facts, ending);
-      } else {
-        turned_away = true, p.links.give_back(*at, std::move(*link));
-      }
-    }
-    if (handed_over) return true;
+    // Looked at before a connection is made, and once more when it is there: it may take longer than what was
+    // allowed before lasts.
+    const Denial denial = may_write(p, s, ticket, control);
+    if (denial != Denial::None) note_unwritten(denial, true, facts);
+    else if (auto link = link_for_attempt(p, s, *at, gate, facts))
+      if (talk(p, s, ticket, control, *at, *link, facts, ending)) return true;
     facts.cancelled |= control.stopped();
     control.detach();
-    const auto judged =
-        turned_away && !facts.cancelled ? engines::Judged{EndedAs::Full} : p.dialect->judge(s.leg, facts);
+    const auto judged = facts.turned_away && !facts.cancelled ? engines::Judged{EndedAs::Full}
+                                                              : p.dialect->judge(s.leg, facts);
     ending.as = judged.as, ending.no_state = judged.no_state;
     ending.written = facts.asked_whole, ending.arrived = facts.arrived;
     ending.refused_link = facts.connect == SendFacts::Connect::Refused;
@@ -952,6 +862,59 @@
     return false;
   }
 
+  // Whether the attempt may be written now; the reason is counted where it may not.
+  Denial may_write(PoolParts& p, const StartSend& s, const Ticket& ticket, const SendControl& control) {
+    const Asked& asked = ticket.asked();
+    const auto demand = ticket.demand();
+    const ModelRoute& rules = p.settings.routing.routes[settings.routes[asked.route].number];
+    AttemptView view;
+    view.now = clock_now(), view.write_by = s.write_by;
+    view.called_off = control.stopped();
+    view.client_gone = demand == Ticket::Demand::ClientGone,
+    view.answered = demand == Ticket::Demand::Answered;
+    view.effect_repeats = rules.effect != Effect::NonRetriable;
+    view.to_prefill = s.leg == Leg::Read;
+    // This one was counted when it was ordered.
+    view.others_may_have_run = view.to_prefill ? 0 : ticket.writes() - 1;
+    view.engine = p.book.standing(s.engine);
+    const Denial denial = core.permissions_.note(may_write_attempt(view), "write attempt", id_of(asked));
+    if (denial == Denial::MayHaveRun) core.permissions_.violated(Violation::SecondEffect, id_of(asked));
+    return denial;
+  }
+
+  static std::string_view id_of(const Asked& asked) {
+    return asked.passed ? std::string_view(asked.passed->id) : std::string_view();
+  }
+
+  // What an attempt that was not written is told as.
+  static void note_unwritten(Denial denial, bool kept_link, SendFacts& facts) {
+    switch (denial) {
+      case Denial::CalledOff:
+      case Denial::Answered: facts.cancelled = true; break;
+      // As the engine itself would have said.
+      case Denial::EngineUnknown:
+      case Denial::EngineDraining: facts.turned_away = true; break;
+      // On a kept link it was this machine that came too late.
+      case Denial::TimeOver:
+        facts.connect = kept_link ? SendFacts::Connect::Local : SendFacts::Connect::TimedOut;
+        break;
+      default: facts.not_sent = true; break;
+    }
+  }
+
+  // Whether what was written just now has broken a rule, whatever had allowed it.
+  void check_written(PoolParts& p, const StartSend& s, const Ticket& ticket, Instant begun) {
+    const Instant now = clock_now();
+    const auto id = id_of(ticket.asked());
+    const Span grace = p.settings.drain_grace;
+    if (const auto told = p.book.standing(s.engine).told_at; told && grace > Span{} && begun - *told > grace)
+      core.permissions_.violated(Violation::WrittenToDrainedEngine, id, begun - *told - grace);
+    if (now > s.until + held_up_most)
+      core.permissions_.violated(Violation::WrittenAfterDeadline, id, now - s.until);
+    if (const auto left = ticket.left_at(); left && begun - *left > begin_after_leave)
+      core.permissions_.violated(Violation::WrittenAfterClientLeft, id, begun - *left);
+  }
+
   static std::string refusal_of(Ending& e) { return std::exchange(e.state, {}); }
 
   bool talk(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control, const net::Address& at,
@@ -970,15 +933,8 @@
     ending.link_uses = link.uses() + 1, ending.link_stood = stood;
     const Asked& asked = ticket.asked();
     const Words words = p.dialect->send(s, asked, settings.routes[asked.route]);
-    // Nothing is begun for a client that has gone or has its answer, nor past the time by which it had to be
-    // written: a connection may take longer to come up than either.
-    const Ticket::Demand demand = ticket.demand();
-    if (demand != Ticket::Demand::Waiting || clock_now() >= s.write_by) {
-      facts.not_sent = demand == Ticket::Demand::ClientGone;
-      facts.cancelled = demand == Ticket::Demand::Answered;
-      // On a kept link it was this machine that came too late.
-      const bool kept_link = link.uses() > 0;
-      facts.connect = kept_link ? SendFacts::Connect::Local : SendFacts::Connect::TimedOut;
+    if (const Denial denial = may_write(p, s, ticket, control); denial != Denial::None) {
+      note_unwritten(denial, link.uses() > 0, facts);
       if (control.detach()) p.links.give_back(at, std::move(link));
       return false;
     }
@@ -986,6 +942,7 @@
     facts.asked_whole = link.ask(words.method, words.target, words.headers, *words.body, s.until);
     facts.any_written = link.stream().bytes_written() > before;
     control.written(facts.asked_whole);
+    if (facts.asked_whole) check_written(p, s, ticket, begun);
     if (core.log_.shows(Level::Debug))
       core.log_.line(Level::Debug, "attempt written",
                      {{"id", std::string_view(s.name)},
@@ -1083,7 +1040,10 @@
     const bool after = p.dialect->place_after_read();
     const auto ask = [this, &p, a, after, read, words = p.dialect->place(a, it->second.ticket->asked())] {
       // Looked at once more when the connection is there: it may take as long as the read.
-      const auto wanted = [&] { return p.book.may_ask(a.engine) && (!after || read->out()); };
+      const auto wanted = [&] {
+        const PlaceView view{after, after && read->out(), p.book.standing(a.engine)};
+        return core.permissions_.note(may_ask_place(view), "ask for a place", a.let_go_as) == Denial::None;
+      };
       const auto at = p.book.find(a.engine);
       if (!at || !wanted()) return queue.put({p.index, PlaceSaid{a, false}});
       SendFacts facts;
@@ -1161,12 +1121,13 @@
           const Words words = p.dialect->release(r);
           const Instant until = ordered + p.settings.routing.pin_limit + Span::millis(200);
           for (const auto& at : where) {
-            if (clock_now() >= until) break;
+            if (may_release({clock_now(), until, false}) != Denial::None) break;
             SendFacts facts;
             const Instant answered_by = clock_now() + release_answer;
             auto link = link_to(p, at, answered_by, facts);
             if (!link) continue;
-            if (!gate->begin_release(attempts)) {
+            const ReleaseView view{clock_now(), until, !gate->begin_release(attempts)};
+            if (core.permissions_.note(may_release(view), "release", r.name) == Denial::NewerAttempt) {
               p.links.give_back(at, std::move(*link));
               return queue.put({p.index, NotReleased{r, true}});
             }
@@ -1393,6 +1354,7 @@
            std::vector<std::shared_ptr<const Dialect>> dialects)
     : settings_(settings),
       log_(log),
+      permissions_(log),
       hangups_(std::make_unique<Hangups>([&log](int error) {
         log.line(Level::Error, "wait for hang-ups failed", {{"what", std::strerror(error)}});
       })),
--- a/src/front/core.hpp
+++ b/src/front/core.hpp
@@ -15,6 +15,7 @@
 #include "core/types.hpp"
 #include "engines/completions.hpp"
 #include "front/claim.hpp"
+#include "front/permissions.hpp"
 #include "http/http.hpp"
 #include "intake/intake.hpp"
 #include "log/log.hpp"
@@ -159,6 +160,8 @@
   // Writes that were ordered and not proven unrun since: whether the inference may have run, and since when.
   void write_ordered(Instant now);
   void write_unrun();
+  int writes() const;                      // ordered, and not proven unrun
+  std::optional<Instant> left_at() const;  // when its client was heard to have hung up
   std::pair<bool, Instant> may_have_run() const;
   // What a read told of the prompt.
   void learn(const Usage& usage);
@@ -172,6 +175,7 @@
   mutable std::mutex mutex_;
   std::condition_variable come_;
   bool poked_ = false, peer_left_ = false;
+  std::optional<Instant> left_at_;
   Claim claim_;
   bool left_ = false;
   int client_fd_ = -1;
@@ -283,6 +287,7 @@
   std::optional<Fronts> fronts(Instant deadline);
   bool set_fronts(std::optional<int> count, Span lasts, Instant deadline);
   metrics::Figures& figures() { return figures_; }
+  Permissions& permissions() { return permissions_; }
   Hangups& hangups() { return *hangups_; }
   const settings::Front& settings() const { return settings_; }
   log::Log& log() { return log_; }
@@ -296,6 +301,7 @@
   log::Log& log_;
   std::atomic<bool> refusing_ = false, aborting_ = false;
   metrics::Figures figures_;
+  Permissions permissions_;
   const std::unique_ptr<Hangups> hangups_;
   std::unique_ptr<Inside> inside_;
 };
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -151,7 +151,9 @@
   try {
     visit.keep_alive = request.keep_alive && !winding_, visit.winding_down = winding_;
     // An answer that did not say so is not its connection's last: the next request may be on its way.
-    return protocol->serve(request, visit) && visit.keep_alive;
+    const bool stays = protocol->serve(request, visit) && visit.keep_alive;
+    if (stays) return true;
+    return end_answered(*protocol, visit, written), false;
   } catch (const std::exception& problem) {
     core_.log().line(log::Level::Error, "request failed",
                      {{"request_id", visit.request_id}, {"what", problem.what()}});
@@ -162,6 +164,16 @@
   }
 }
 
+// Before a connection ends with this request: it has had an answer, or its client has gone.
+void Server::end_answered(Protocol& protocol, Visit& visit, std::size_t written_before) {
+  const auto& stream = visit.connection.stream();
+  const CloseView view{stream.bytes_written() == written_before, stream.peer_left()};
+  if (core_.permissions().note(may_close(view), "close", visit.request_id) == Denial::None) return;
+  core_.permissions().violated(Violation::ClosedUnanswered, visit.request_id);
+  visit.keep_alive = false;
+  protocol.refuse(500, "this front failed with the request", visit);
+}
+
 void Server::refuse(http::ReadEnd end, Visit& visit) {
   Protocol& first = *protocols_.front();
   switch (end) {
--- a/src/front/server.hpp
+++ b/src/front/server.hpp
@@ -63,6 +63,7 @@
   void admit(net::Stream stream);
   void begin(const Lobby::Shared& guest);
   void serve(const Lobby::Shared& guest);
+  void end_answered(Protocol& protocol, Visit& visit, std::size_t written_before);
   bool serve_one(http::Request& request, Visit& visit);
   void refuse(http::ReadEnd end, Visit& visit);
   void turn_away(const Lobby::Shared& guest);
--- a/src/node/client_front.cpp
+++ b/src/node/client_front.cpp
@@ -15,6 +15,8 @@
 using front::Visit;
 using How = AnswerEnd::How;
 
+// An answer so long after its deadline is lost.
+constexpr Span late_at_most = Span::millis(500);
 constexpr std::string_view no_room =
     "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
@@ -81,7 +83,8 @@
     asked.prompt_tokens = w.prompt_tokens, asked.shared_tokens = w.shared_tokens;
     asked.max_answer_tokens = w.max_answer_tokens;
     asked.repeat = w.repeat, asked.resumed = w.resumed;
-    asked.ends = now + w.budget;
+    const Instant asked_until = now + w.budget;
+    asked.ends = asked_until;
     asked.key_taken = true;  // each try comes under an id of its own
     asked.passed = std::make_shared<const front::Passed>(w.id, request.method, request.target,
                                                          platform::end_to_end_headers(request.headers),
@@ -91,6 +94,9 @@
     const front::Answering::Terms terms{asked.ends, true, false, visit.connection.stream().fd()};
     const AnswerEnd end = answering.run(std::move(asked), terms, passing);
     id_in_use.begun = end.how != How::NotTaken;
+    const Span late = net::clock_now() - asked_until;
+    if (!passing.begun && end.how != How::Left && late > late_at_most)
+      core_.permissions().violated(front::Violation::AnsweredLate, w.id, late);
     if (passing.begun) {
       // What broke ends without its last chunk; the server ends the connection.
       return end.how == How::Completed && visit.connection.end_stream();
--- a/src/node/dialect.cpp
+++ b/src/node/dialect.cpp
@@ -55,7 +55,9 @@
     using C = SendFacts::Connect;
     platform::Facts facts;
     using To = platform::Facts::Connect;
-    facts.connect = f.connect == C::Connected ? To::Connected : f.connect == C::Local ? To::Local : To::Failed;
+    facts.connect = f.connect == C::Connected ? To::Connected
+                    : f.connect == C::Local   ? To::Local
+                                              : To::Failed;
     facts.not_sent = f.not_sent;
     facts.cancelled = f.cancelled, facts.asked_whole = f.asked_whole, facts.timed_out = f.timed_out;
     facts.status = f.status, facts.not_started = f.not_started, facts.body_whole = f.body_whole;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -181,6 +181,8 @@
                {"sending", n(b->sending)},
                {"following", n(b->following)},
                {"idle_links", n(b->idle_links)},
+               {"denied", n(core_.permissions().denials())},
+               {"violations", n(core_.permissions().violations())},
                {"heap_kb", n((heap.uordblks + heap.hblkhd) >> 10)}});
   }
 
@@ -229,6 +231,7 @@
   f.stream_silence = Span::millis(4500), f.stop = Span::millis(120000);
   settings::Pool pool;
   pool.name = "engines", pool.routing = c.told.settings, pool.connect = c.told.settings.connect;
+  pool.drain_grace = c.drain_grace;
   for (const auto& kind : c.told.kinds) pool.kinds.push_back({kind, true, true, false, false});
   pool.idle_used = 0.6, pool.idle_links = shares.idle_links;
   pool.idle_links_each = std::max<std::size_t>(4, shares.idle_links / 4);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -40,6 +40,7 @@
   std::vector<StaticEngine> engines;
   Span roster_every = Span::millis(500);
   Span connect = Span::millis(250);
+  Span drain_grace = {};  // nothing is sent so long after an engine was told to drain; zero = no such rule
   // Links to engines: of the time that an engine leaves them open, the part in which they are used again; how
   // many may stand idle at one engine and in all; how long one is left alone after its last answer.
   double idle_used = 1;
--- a/src/soak/node_process.cpp
+++ b/src/soak/node_process.cpp
@@ -66,7 +66,7 @@
 
 void NodeProcess::start(const std::string& faults) {
   const std::lock_guard lock(mutex_);
-  ++generation_, killed_ = false, terminated_.reset(), address_.reset();
+  ++generation_, killed_ = overdue_ = false, terminated_.reset(), address_.reset();
   std::vector<std::string> own{"NODE_CONFIG=" +
                                (program_.folder / ("node" + std::to_string(number_) + ".json")).string()};
   if (!program_.fault_library.empty()) {
@@ -115,7 +115,8 @@
 void NodeProcess::note_end(int status) {
   pid_ = 0, address_.reset();
   const bool clean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
-  const NodeEnd how = killed_                ? (terminated_ ? NodeEnd::KilledAfterSigterm : NodeEnd::Killed)
+  const NodeEnd how = overdue_               ? NodeEnd::KilledAfterSigterm
+                      : killed_              ? NodeEnd::Killed
                       : terminated_ && clean ? NodeEnd::AfterSigterm
                                              : NodeEnd::Crashed;
   journal_.add(NodeEnded{number_, clock_now(), how, status});
@@ -127,7 +128,7 @@
   int status = 0;
   if (waitpid(pid_, &status, WNOHANG) == pid_) return note_end(status);
   if (terminated_ && !killed_ && clock_now() > *terminated_ + ends_after_sigterm)
-    killed_ = true, ::kill(pid_, SIGKILL);
+    killed_ = overdue_ = true, ::kill(pid_, SIGKILL);
   if (address_ || terminated_ || killed_) return;
   std::ifstream in(log_of(generation_));
   std::stringstream text;
--- a/src/soak/oracle.cpp
+++ b/src/soak/oracle.cpp
@@ -134,7 +134,7 @@
     });
     const bool link_broke =
         std::any_of(limits_.broken_links.begin(), limits_.broken_links.end(), [&](const BrokenLinks& b) {
-          return b.node == r.sent->node && r.ended->at >= b.from &&
+          return b.node == r.sent->node && r.ended->at >= b.from - limits_.scheduling &&
                  r.ended->at <= b.until + limits_.scheduling;
         });
     if (!excused && !link_broke) violated(Rule::Lost, r.ended->at, id + ": its stream was cut off");
