Fewer looks at client and clock for each attempt; a start heard again is no fresh one

Cause: may_write asked the kernel about the client twice an attempt and read the clock four times more; each call costs a node its share of a core. Change: the first look is without the client, the second uses the time at hand, the check behind the write the link's own.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -845,7 +845,7 @@
     const auto at = p.book.find(s.engine);
     // Looked at before a connection is made, and once more when it is there: it may take longer than what was
     // allowed before lasts.
-    const Denial denial = may_write(p, s, ticket, control);
+    const Denial denial = may_write(p, s, ticket, control, clock_now(), false);
     if (denial != Denial::None) note_unwritten(denial, true, facts);
     else if (auto link = link_for_attempt(p, s, *at, gate, facts))
       if (talk(p, s, ticket, control, *at, *link, facts, ending)) return true;
@@ -863,12 +863,14 @@
   }
 
   // Whether the attempt may be written now; the reason is counted where it may not.
-  Denial may_write(PoolParts& p, const StartSend& s, const Ticket& ticket, const SendControl& control) {
+  // `look`: at the client too, which costs a system call.
+  Denial may_write(PoolParts& p, const StartSend& s, const Ticket& ticket, const SendControl& control,
+                   Instant now, bool look) {
     const Asked& asked = ticket.asked();
-    const auto demand = ticket.demand();
+    const auto demand = look ? ticket.demand() : Ticket::Demand::Waiting;
     const ModelRoute& rules = p.settings.routing.routes[settings.routes[asked.route].number];
     AttemptView view;
-    view.now = clock_now(), view.write_by = s.write_by;
+    view.now = now, view.write_by = s.write_by;
     view.called_off = control.stopped();
     view.client_gone = demand == Ticket::Demand::ClientGone,
     view.answered = demand == Ticket::Demand::Answered;
@@ -903,16 +905,16 @@
   }
 
   // Whether what was written just now has broken a rule, whatever had allowed it.
-  void check_written(PoolParts& p, const StartSend& s, const Ticket& ticket, Instant begun) {
-    const Instant now = clock_now();
+  // Whether what was written from `at` on has broken a rule, whatever had allowed it.
+  void check_written(PoolParts& p, const StartSend& s, const Ticket& ticket, Instant at) {
     const auto id = id_of(ticket.asked());
     const Span grace = p.settings.drain_grace;
-    if (const auto told = p.book.standing(s.engine).told_at; told && grace > Span{} && begun - *told > grace)
-      core.permissions_.violated(Violation::WrittenToDrainedEngine, id, begun - *told - grace);
-    if (now > s.until + held_up_most)
-      core.permissions_.violated(Violation::WrittenAfterDeadline, id, now - s.until);
-    if (const auto left = ticket.left_at(); left && begun - *left > begin_after_leave)
-      core.permissions_.violated(Violation::WrittenAfterClientLeft, id, begun - *left);
+    if (const auto told = p.book.standing(s.engine).told_at; told && grace > Span{} && at - *told > grace)
+      core.permissions_.violated(Violation::WrittenToDrainedEngine, id, at - *told - grace);
+    if (at > s.until + held_up_most)
+      core.permissions_.violated(Violation::WrittenAfterDeadline, id, at - s.until);
+    if (const auto left = ticket.left_at(); left && at - *left > begin_after_leave)
+      core.permissions_.violated(Violation::WrittenAfterClientLeft, id, at - *left);
   }
 
   static std::string refusal_of(Ending& e) { return std::exchange(e.state, {}); }
@@ -933,7 +935,7 @@
     ending.link_uses = link.uses() + 1, ending.link_stood = stood;
     const Asked& asked = ticket.asked();
     const Words words = p.dialect->send(s, asked, settings.routes[asked.route]);
-    if (const Denial denial = may_write(p, s, ticket, control); denial != Denial::None) {
+    if (const Denial denial = may_write(p, s, ticket, control, begun, true); denial != Denial::None) {
       note_unwritten(denial, link.uses() > 0, facts);
       if (control.detach()) p.links.give_back(at, std::move(link));
       return false;
@@ -942,7 +944,7 @@
     facts.asked_whole = link.ask(words.method, words.target, words.headers, *words.body, s.until);
     facts.any_written = link.stream().bytes_written() > before;
     control.written(facts.asked_whole);
-    if (facts.asked_whole) check_written(p, s, ticket, begun);
+    if (facts.asked_whole) check_written(p, s, ticket, link.last_used());
     if (core.log_.shows(Level::Debug))
       core.log_.line(Level::Debug, "attempt written",
                      {{"id", std::string_view(s.name)},
@@ -979,7 +981,8 @@
     const Instant acknowledged_by = clock_now() + p.settings.routing.pin_limit * acknowledged_part_of_pin;
     if (p.settings.routing.pin_limit > Span{} && acknowledged_by < s.until) {
       const BodyEnd end = link.read_head(head, acknowledged_by);
-      if (end != BodyEnd::TimedOut || !link.stream().acknowledged().value_or(true)) return end;
+      if (end != BodyEnd::TimedOut) return end;
+      if (!link.stream().acknowledged().value_or(true)) return BodyEnd::Broken;
     }
     return link.read_head(head, s.until);
   }
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -174,7 +174,7 @@
     }
     const auto at = net::parse_address(e.host_port);
     if (e.entry.lifecycle == Lifecycle::Gone) {
-      reached_.erase(id), instances_.erase(id), starts_.forget(id);
+      reached_.erase(id), instances_.erase(id);
     } else if (!at || !net::is_literal(*at)) {
       core_.log().line(Level::Warn, "registry entry passed over",
                        {{"what", e.instance + ": hostPort is no address"}});
--- a/src/platform/start_times.cpp
+++ b/src/platform/start_times.cpp
@@ -5,8 +5,11 @@
 namespace calicograde::platform {
 namespace {
 
-// From an engine's start until the registry tells of it, where it can be heard.
-constexpr Span told_within = Span::millis(2000);
+// The platform counts a change as told by then at the latest, where discovery can be reached: an engine that
+// seems to have started longer before the last word without it shows that the wall clock is off.
+constexpr Span told_within = Span::millis(6000);
+
+constexpr std::size_t most_known = 32768;
 
 }  // namespace
 
@@ -19,12 +22,11 @@
   if (const auto it = known_.find(engine); it != known_.end() && it->second.started_at == started_at)
     return it->second.started;
   Instant at = Instant::at(started_at - offset_);
-  if (without) at = std::max(at, *without - told_within);
+  if (without && at < *without - told_within) at = *without;
   at = std::min(at, now);
+  if (known_.size() >= most_known) known_.clear();  // guards long lives among ever new engines
   known_[engine] = {started_at, at};
   return at;
 }
 
-void StartTimes::forget(const EngineId& engine) { known_.erase(engine); }
-
 }  // namespace calicograde::platform
--- a/src/platform/start_times.hpp
+++ b/src/platform/start_times.hpp
@@ -20,10 +20,10 @@
   // Raises the offset to what a start implies that was heard of at `now`. To be called for all starts of a
   // list before any of them is worked out, so that they are compared with each other.
   void heard(Span started_at, Instant now);
-  // The start of an engine; the same for as long as the registry tells the same one. `without`: when
-  // discovery was last heard before it told this; none where it had told nothing yet.
+  // The start of an engine; the same for as long as the registry tells the same one, also after it was gone
+  // for a while. `without`: when discovery was last heard before it told this; none where it had told nothing
+  // yet.
   Instant started(const EngineId& engine, Span started_at, Instant now, std::optional<Instant> without);
-  void forget(const EngineId& engine);
   Span offset() const { return offset_; }
 
  private:
