--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 # make demo: set up, build, bring up a front with stand-in engines, stream an answer.
 # make test: set up, build, run all tests. Both work on a fresh machine.
+# make soak: front nodes as real processes under overlapping faults.
 JOBS ?= $(shell nproc)
 export RC_PARAMS ?= seed=20261201
 
-.PHONY: all setup build demo test clean
+.PHONY: all setup build demo test soak clean
 all: build
 setup:
 	scripts/setup.sh
@@ -21,5 +22,13 @@
 	cmake -B build-tsan -DCMAKE_BUILD_TYPE=None -DCALICOGRADE_PROGRAM=ON -DCALICOGRADE_LAB=ON -DCALICOGRADE_TESTS=ON -DCALICOGRADE_SANITIZE=thread
 	cmake --build build-tsan -j$(JOBS) --target front_tests net_faults_tests calicograded calicograde-lab
 	scripts/run_tests.sh --test-dir build-tsan --output-on-failure -j2 -L threads
+# make soak SEEDS=n: n seeds of the fault soak, counted up from FIRST; logs of those that fail stay in build-soak/logs.
+SEEDS ?= 10
+FIRST ?= 1
+soak: setup
+	cmake -B build-soak -DCMAKE_BUILD_TYPE=Release -DCALICOGRADE_PROGRAM=ON -DCALICOGRADE_LAB=ON
+	cmake --build build-soak -j$(JOBS) --target calicograded calicograde-soak calicograde_faults
+	build-soak/calicograde-soak --daemon build-soak/calicograded --faults build-soak/libcalicograde_faults.so \
+	  --first $(FIRST) --seeds $(SEEDS) --keep build-soak/logs
 clean:
-	rm -rf build build-adapter build-asan build-tsan
+	rm -rf build build-adapter build-asan build-tsan build-soak
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -5,6 +5,8 @@
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <atomic>
+#include <chrono>
 #include <stdexcept>
 
 namespace calicograde::log {
@@ -42,6 +44,7 @@
 struct Log::Parts {
   std::shared_ptr<spdlog::details::thread_pool> pool;
   std::shared_ptr<spdlog::async_logger> logger;
+  std::atomic<std::size_t> told_dropped = 0;
 };
 
 Log::Log(const std::string& file, Level level) : parts_(std::make_unique<Parts>()) {
@@ -66,7 +69,22 @@
 
 void Log::line(Level level, std::string_view event, std::initializer_list<Field> fields) {
   if (!shows(level)) return;
-  std::string text = "\"event\":";
+  // While lines are still being dropped, this one would be among them as likely as any other: a few at a
+  // time.
+  const std::size_t lost = dropped(), told = parts_->told_dropped;
+  if (lost > told && parts_->told_dropped.exchange(lost) != lost)
+    write(Level::Warn, "log lines dropped",
+          {{"lines", static_cast<std::int64_t>(lost - told)}, {"in_all", static_cast<std::int64_t>(lost)}});
+  write(level, event, fields);
+}
+
+std::size_t Log::dropped() const { return parts_->pool->overrun_counter(); }
+
+void Log::write(Level level, std::string_view event, std::initializer_list<Field> fields) {
+  const auto mono = std::chrono::steady_clock::now().time_since_epoch();
+  std::string text = "\"mono_ms\":";
+  text += std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(mono).count());
+  text += ",\"event\":";
   quote(text, event);
   for (const auto& f : fields) {
     text += ',';
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <memory>
@@ -19,7 +20,8 @@
 
 // Structured log: one JSON object a line, on standard error or in a file. Thread-safe; writes are buffered by
 // spdlog's own thread, whose queue is bounded: when it is full the oldest lines give way, and no caller ever
-// waits.
+// waits; how many were dropped is told by a line of its own. Beside wall time each line has `mono_ms`, the
+// machine's monotonic clock, which tells their order whatever was done to the other.
 class Log {
  public:
   // Throws std::runtime_error if the file can't be opened. Empty: standard error.
@@ -28,8 +30,10 @@
   bool shows(Level level) const;
   void line(Level level, std::string_view event, std::initializer_list<Field> fields = {});
   void set_level(Level level);
+  std::size_t dropped() const;  // lines, so far
 
  private:
+  void write(Level level, std::string_view event, std::initializer_list<Field> fields);
   struct Parts;
   std::unique_ptr<Parts> parts_;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -205,6 +205,7 @@
       const auto knows = [&](const auto& inf) { return inf.second.knows(it.first); };
       return it.second.lifecycle == Lifecycle::Gone && std::none_of(infs_.begin(), infs_.end(), knows);
     });
+    std::erase_if(with_gaps_, [&](const EngineId& id) { return !engines_.contains(id); });
     ready_readers_ = ready_writers_ = 0;
     for (const auto& [id, eng] : engines_)
       if (eng.lifecycle == Lifecycle::Ready) ready_readers_ += eng.reads, ready_writers_ += eng.writes;
@@ -768,18 +769,19 @@
   void sign_of_life(const EngineId& id) {
     Engine* e = engine(id);
     if (!e) return;
-    if (!e->awaited.empty()) e->gaps.add(now_, e->silence(now_).seconds());
+    if (!e->awaited.empty()) e->gaps.add(now_, e->silence(now_).seconds()), with_gaps_.insert(id);
     e->last_sign = now_;
     if (e->silent) trust(id, *e);
   }
 
   // The silence that is still usual, by the gaps seen before at this engine or, while few, at its kind.
-  Span patience(const Engine& e, bool freaks = true) {
-    const auto own = e.gaps.since(Instant{});
-    return own.size() >= 4 ? patience_by(own, freaks) : kind_patience(e.entry.kind, freaks);
-  }
-
-  Span patience_by(std::vector<double> gaps, bool freaks) const {
+  Span patience(const Engine& e, bool freaks = true) const {
+    auto gaps = e.gaps.since(Instant{});
+    if (gaps.size() < 4)
+      for (const EngineId& id : with_gaps_)
+        if (const auto other = engines_.find(id);
+            other != engines_.end() && other->second.entry.kind == e.entry.kind)
+          gaps = other->second.gaps.since(Instant{}, std::move(gaps));
     if (gaps.size() < 4) return smallest_target_ * 0.5;
     // One freak gap, as of a connection that fell silent alone, must not make the next one usual.
     if (!freaks && gaps.size() > 4) gaps.erase(std::max_element(gaps.begin(), gaps.end()));
@@ -788,17 +790,6 @@
     return Span::from_seconds(std::max(most * 3, unusual) + 0.2);
   }
 
-  // By the gaps of all engines of a kind, worked out now and then.
-  Span kind_patience(std::uint8_t kind, bool freaks) {
-    if (now_ - patiences_at_ > worked_out_every) patiences_.clear(), patiences_at_ = now_;
-    const auto [it, fresh] = patiences_.try_emplace({kind, freaks});
-    if (!fresh) return it->second;
-    std::vector<double> gaps;
-    for (const auto& [id, other] : engines_)
-      if (other.entry.kind == kind) gaps = other.gaps.since(Instant{}, std::move(gaps));
-    return it->second = patience_by(std::move(gaps), freaks);
-  }
-
   void watch(const EngineId& id, Engine& e) {
     if (e.lifecycle != Lifecycle::Ready || e.awaited.empty() || e.doubted) return;
     // A slow link looks like a silent writer: what comes from another rack may take a target's time.
@@ -983,8 +974,7 @@
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
   double home_found_ = 0.5;    // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, Paces> paces_;
-  std::map<std::pair<std::uint8_t, bool>, Span> patiences_;  // by kind, and whether freak gaps count
-  Instant patiences_at_;
+  std::set<EngineId> with_gaps_;  // engines that were once seen to be silent for a while
   std::deque<std::pair<EngineId, EngineId>> siblings_;
   std::vector<std::pair<double, const Candidate*>> near_;
   std::vector<std::pair<double, InfId>> line_;  // those that wait, most urgent first
