A list that changes between two looks is no crash; one idle link goes for a local error

Found by reading the whole change once more. run_send looked up the engine's address and then asked whether it is listed: a list that came between the two let an address that is not there be used. The address is looked up second now, and one that is missing counts as an unknown engine.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -803,12 +803,13 @@
     const Instant begun = clock_now();
     net::LocalRetry local(std::min(until, begun + local_retry_within));
     net::LocalRetry unreachable(std::min(until, begun + p.settings.connect));
+    bool link_dropped = false;
     for (;;) {
       auto [how, stream] = net::Stream::connect(at, std::min(until, clock_now() + p.settings.connect));
       facts.connect = facts_of(how);
       if (how == N::Connected) return http::ClientConnection(std::move(stream));
-      // Idle links go before a send does.
-      if (how == N::Local && p.links.drop_oldest()) continue;
+      // An idle link goes before a send does; one, since it may not be a descriptor that is missing.
+      if (how == N::Local && !std::exchange(link_dropped, true) && p.links.drop_oldest()) continue;
       if (how == N::Local && !stopping && local.pause()) continue;
       if (how == N::Unreachable && !stopping && unreachable.pause()) continue;
       return std::nullopt;
@@ -842,10 +843,12 @@
   bool run_send(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control, ReleaseGate& gate,
                 Ending& ending) {
     SendFacts facts;
-    const auto at = p.book.find(s.engine);
     // Looked at before a connection is made, and once more when it is there: it may take longer than what was
     // allowed before lasts.
-    const Denial denial = may_write(p, s, ticket, control, clock_now(), false);
+    Denial denial = may_write(p, s, ticket, control, clock_now(), false);
+    const auto at = p.book.find(s.engine);
+    // The list may have changed between the two.
+    if (denial == Denial::None && !at) denial = Denial::EngineUnknown;
     if (denial != Denial::None) note_unwritten(denial, true, facts);
     else if (auto link = link_for_attempt(p, s, *at, gate, facts))
       if (talk(p, s, ticket, control, *at, *link, facts, ending)) return true;
@@ -904,7 +907,6 @@
     }
   }
 
-  // Whether what was written just now has broken a rule, whatever had allowed it.
   // Whether what was written from `at` on has broken a rule, whatever had allowed it.
   void check_written(PoolParts& p, const StartSend& s, const Ticket& ticket, Instant at) {
     const auto id = id_of(ticket.asked());
@@ -1124,13 +1126,14 @@
           const Words words = p.dialect->release(r);
           const Instant until = ordered + p.settings.routing.pin_limit + Span::millis(200);
           for (const auto& at : where) {
-            if (may_release({clock_now(), until, false}) != Denial::None) break;
+            const Instant now = clock_now();
+            if (may_release({now, until, false}) != Denial::None) break;
             SendFacts facts;
-            const Instant answered_by = clock_now() + release_answer;
+            const Instant answered_by = now + release_answer;
             auto link = link_to(p, at, answered_by, facts);
             if (!link) continue;
-            const ReleaseView view{clock_now(), until, !gate->begin_release(attempts)};
-            if (core.permissions_.note(may_release(view), "release", r.name) == Denial::NewerAttempt) {
+            const ReleaseView view{now, until, !gate->begin_release(attempts)};
+            if (core.permissions_.note(may_release(view), "release", r.name) != Denial::None) {
               p.links.give_back(at, std::move(*link));
               return queue.put({p.index, NotReleased{r, true}});
             }
