--- a/src/front/keeping.cpp
+++ b/src/front/keeping.cpp
@@ -131,8 +131,9 @@
     if (!wrong.empty()) return false;
   }
   keep::State state;
-  state.front = loaded_.state.front, state.wall_ms = keep::moment_now().wall_ms;
-  state.boot_ms = keep::moment_now().boot_ms, state.boot = keep::moment_now().boot;
+  const keep::Moment now = keep::moment_now();
+  state.front = loaded_.state.front;
+  state.wall_ms = now.wall_ms, state.boot_ms = now.boot_ms, state.boot = now.boot;
   if (!collect_(state)) return false;
   // Marks wait while it is written; those that wait too long are let go without (mark() says so).
   const std::size_t marks = state.marks.size();
--- a/src/keep/store.cpp
+++ b/src/keep/store.cpp
@@ -75,6 +75,8 @@
   return begin_log(highest + 1);
 }
 
+std::string Store::ensure_log() { return log_ == 0 ? wrong_ = begin_first_log() : std::string(); }
+
 Loaded Store::load(const std::string& front) {
   Loaded out;
   out.state.front = front;
@@ -155,8 +157,7 @@
 }
 
 std::string Store::rotate(std::uint64_t& number) {
-  if (log_ == 0)
-    if (wrong_ = begin_first_log(); !wrong_.empty()) return wrong_;
+  if (auto wrong = ensure_log(); !wrong.empty()) return wrong;
   number = log_ + 1;
   return begin_log(number);
 }
@@ -186,8 +187,7 @@
 }
 
 std::string Store::mark(const std::vector<Mark>& marks) {
-  if (log_ == 0)
-    if (wrong_ = begin_first_log(); !wrong_.empty()) return wrong_;
+  if (auto wrong = ensure_log(); !wrong.empty()) return wrong;
   if (torn_)
     if (auto wrong = begin_log(log_ + 1); !wrong.empty()) return wrong;
   std::string bytes;
--- a/src/keep/store.hpp
+++ b/src/keep/store.hpp
@@ -45,7 +45,8 @@
   static std::string snap_name(std::uint64_t n);
   static std::string log_name(std::uint64_t n);
   std::string begin_log(std::uint64_t n);
-  std::string begin_first_log();  // where load() could not
+  std::string begin_first_log();
+  std::string ensure_log();  // begins it where load() could not
   std::optional<std::string> read(const std::string& name, std::string& wrong);
 
   Disk& disk_;
--- a/src/node/client_front.cpp
+++ b/src/node/client_front.cpp
@@ -94,15 +94,14 @@
     const front::Answering::Terms terms{asked.ends, true, false, visit.connection.stream().fd()};
     const AnswerEnd end = answering.run(std::move(asked), terms, passing);
     id_in_use.begun = end.how != How::NotTaken;
-    const Span late = net::clock_now() - asked_until;
-    if (!passing.begun && end.how != How::Left && late > late_at_most)
-      core_.permissions().violated(front::Violation::AnsweredLate, w.id, late);
     if (passing.begun) {
       // What broke ends without its last chunk; the server ends the connection.
       return end.how == How::Completed && visit.connection.end_stream();
     }
+    if (end.how == How::Left) return false;
+    if (const Span late = net::clock_now() - asked_until; late > late_at_most)
+      core_.permissions().violated(front::Violation::AnsweredLate, w.id, late);
     switch (end.how) {
-      case How::Left: return false;
       case How::Shed:
       case How::NotTaken: return shed(end.how == How::Shed ? end.retry_after : Span{}, visit);
       case How::Late: return fail(504, "no answer came in time", visit);
--- a/src/platform/start_times.hpp
+++ b/src/platform/start_times.hpp
@@ -24,7 +24,6 @@
   // for a while. `without`: when discovery was last heard before it told this; none where it had told nothing
   // yet.
   Instant started(const EngineId& engine, Span started_at, Instant now, std::optional<Instant> without);
-  Span offset() const { return offset_; }
 
  private:
   struct Known {
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "keep/moment.hpp"
 #include "net/clock.hpp"
 #include "soak/client.hpp"
 #include "soak/discovery.hpp"
@@ -137,12 +138,6 @@
     }
   }
 
-  static std::int64_t wall_now_ms() {
-    timespec t{};
-    clock_gettime(CLOCK_REALTIME, &t);
-    return t.tv_sec * 1000LL + t.tv_nsec / 1000000;
-  }
-
   void apply(const Window& w, bool begins) {
     NodeSite& site = *nodes_[w.node];
     SoakEngine& engine = *engines_[w.engine];
@@ -159,7 +154,7 @@
       case Trouble::EngineDrain: list(w.engine, begins ? Lifecycle::Draining : Lifecycle::Ready, 0); break;
       case Trouble::EngineGone:
         if (!begins) engine.restart();
-        list(w.engine, begins ? Lifecycle::Gone : Lifecycle::Ready, begins ? 0 : wall_now_ms());
+        list(w.engine, begins ? Lifecycle::Gone : Lifecycle::Ready, begins ? 0 : keep::moment_now().wall_ms);
         break;
       case Trouble::DiscoveryDown: site.agent().down(begins); break;
       case Trouble::DiscoveryCrowded: site.agent().crowded(begins); break;
@@ -171,7 +166,7 @@
         break;
       case Trouble::EngineHang: engine.hang(begins); break;
       case Trouble::EngineRestart:
-        if (begins) engine.restart(), list(w.engine, Lifecycle::Ready, wall_now_ms());
+        if (begins) engine.restart(), list(w.engine, Lifecycle::Ready, keep::moment_now().wall_ms);
         break;
       case Trouble::AnswerCut: engine.cut_answers(begins); break;
       case Trouble::AnswerDoubled: engine.double_answers(begins); break;
