--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -9,8 +9,8 @@
 
 using net::clock_now;
 
-LoopbackServer::LoopbackServer(Serve serve)
-    : serve_(std::move(serve)), listener_(net::Address{"127.0.0.1", 0}), acceptor_([this] { accept(); }) {}
+LoopbackServer::LoopbackServer(Serve serve, unsigned short port)
+    : serve_(std::move(serve)), listener_(net::Address{"127.0.0.1", port}), acceptor_([this] { accept(); }) {}
 
 LoopbackServer::~LoopbackServer() {
   stopping_ = true;
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -21,9 +21,10 @@
 class LoopbackServer {
  public:
   using Serve = std::function<void(net::Stream)>;
-  explicit LoopbackServer(Serve serve);
+  explicit LoopbackServer(Serve serve, unsigned short port = 0);  // 0 lets the kernel choose
   ~LoopbackServer();
-  std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+  unsigned short port() const { return listener_.port(); }
   bool stopping() const { return stopping_; }
   void drop_connections();  // resets those that are open
 
--- /dev/null
+++ b/src/soak/engine_process.cpp
@@ -0,0 +1,166 @@
+#include "soak/engine_process.hpp"
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include "net/clock.hpp"
+
+namespace calicograde::soak {
+namespace {
+
+using net::clock_now;
+using Kind = EngineCall::Kind;
+
+constexpr Span starts_within = Span::millis(10000);
+
+// Two connected descriptors: this process's and the engine's.
+std::pair<net::Fd, net::Fd> channel() {
+  int both[2];
+  if (::socketpair(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0, both) != 0)
+    throw std::runtime_error("no socket pair for an engine");
+  return {net::Fd(both[0]), net::Fd(both[1])};
+}
+
+}  // namespace
+
+EngineProcess::EngineProcess(std::size_t number, Role role, const std::string& program, HeldState& held,
+                             Journal& journal, std::atomic<std::uint64_t>& attempts)
+    : number_(number), role_(role), program_(program), held_(held), journal_(journal), attempts_(attempts) {
+  start();
+}
+
+EngineProcess::~EngineProcess() { kill_process(); }
+
+void EngineProcess::start() {
+  auto [calls, engine_calls] = channel();
+  auto [commands, engine_commands] = channel();
+  const std::string role = role_ == Role::Prefill ? "prefill" : "decode";
+  std::vector<std::string> words{program_, "--engine", role, "--port", std::to_string(port_.load())};
+  std::vector<char*> arguments;
+  for (std::string& word : words) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  // By way of numbers that nothing else has, so that neither takes the other's place.
+  constexpr int aside_calls = 1000, aside_commands = 1001;
+  posix_spawn_file_actions_adddup2(&files, engine_calls.get(), aside_calls);
+  posix_spawn_file_actions_adddup2(&files, engine_commands.get(), aside_commands);
+  posix_spawn_file_actions_adddup2(&files, aside_calls, calls_descriptor);
+  posix_spawn_file_actions_adddup2(&files, aside_commands, commands_descriptor);
+  posix_spawn_file_actions_addclose(&files, aside_calls);
+  posix_spawn_file_actions_addclose(&files, aside_commands);
+  const int failed = posix_spawn(&pid_, program_.c_str(), &files, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&files);
+  if (failed != 0) throw std::runtime_error("cannot start " + program_);
+  commands_ = std::move(commands);
+  const bool first = port_ == 0;
+  listener_ = std::thread([this, fd = std::move(calls)]() mutable {
+    const net::Fd own = std::move(fd);
+    listen_to_it(own.get());
+  });
+  for (const Instant until = clock_now() + starts_within; first && port_ == 0; usleep(1000))
+    if (clock_now() > until) throw std::runtime_error("an engine did not start");
+  for (const auto& [fault, on] : faults_) send(fault, on);
+}
+
+void EngineProcess::kill_process() {
+  if (pid_ <= 0) return;
+  ::kill(pid_, SIGKILL);
+  while (::waitpid(pid_, nullptr, 0) < 0 && errno == EINTR) {}
+  pid_ = 0;
+  listener_.join();
+}
+
+void EngineProcess::stop() {
+  if (stops_++ == 0) ::kill(pid_, SIGSTOP);
+}
+
+void EngineProcess::go_on() {
+  if (stops_ > 0 && --stops_ == 0) ::kill(pid_, SIGCONT);
+}
+
+void EngineProcess::send(EngineCommand::Fault fault, bool on) const {
+  const EngineCommand command{fault, on};
+  ::send(commands_.get(), &command, sizeof command, MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
+void EngineProcess::set(EngineCommand::Fault fault, bool on) {
+  faults_[fault] = on;
+  send(fault, on);
+}
+
+void EngineProcess::restart() {
+  kill_process();
+  held_.forget_engine(number_);
+  start();
+  if (stops_ > 0) ::kill(pid_, SIGSTOP);
+}
+
+void EngineProcess::listen_to_it(int descriptor) {
+  for (EngineCall call;;) {
+    const ssize_t got = ::recv(descriptor, &call, sizeof call, 0);
+    if (got < 0 && errno == EINTR) continue;
+    if (got != sizeof call) break;
+    const std::uint64_t answer = take(call);
+    if (::send(descriptor, &answer, sizeof answer, MSG_NOSIGNAL) != sizeof answer) break;
+  }
+  end_all_attempts();
+}
+
+std::uint64_t EngineProcess::take(const EngineCall& call) {
+  const std::string id(call.id.data());
+  const Instant at = Instant::at(Span::micros(call.at_micros));
+  switch (call.kind) {
+    case Kind::Listening: port_ = static_cast<unsigned short>(call.number); return 0;
+    case Kind::AttemptBegan: {
+      const std::uint64_t number = ++attempts_;
+      open_[number] = {id, role_ == Role::Prefill, false};
+      journal_.add(AttemptBegan{id, number_, number, role_, at});
+      if (role_ == Role::Prefill) held_.read_begins(id);
+      return number;
+    }
+    case Kind::AttemptEnded: {
+      const bool fetched = open_[call.number].fetched;
+      end_read(call.number);
+      open_.erase(call.number);
+      journal_.add(AttemptEnded{id, call.number, at, fetched,
+                                call.has_stream ? stream_of(call.number) : std::string(), call.broken});
+      return 0;
+    }
+    case Kind::ReadEnded: end_read(call.number); return 0;
+    case Kind::Hold: held_.hold(id, number_); return 0;
+    case Kind::GrantPlace: return held_.grant_place(id, number_);
+    case Kind::Fetch: {
+      const bool fetched = held_.fetch(id);
+      open_[call.number].fetched = fetched;  // from here on it may have had its effect
+      return fetched;
+    }
+    case Kind::Release: held_.release(id); return 0;
+  }
+  return 0;
+}
+
+void EngineProcess::end_read(std::uint64_t attempt) {
+  OpenAttempt& open = open_[attempt];
+  if (std::exchange(open.reading, false)) held_.read_ends(open.id);
+}
+
+// Its process has gone: what was being worked on broke off.
+void EngineProcess::end_all_attempts() {
+  for (const auto& [number, attempt] : open_) {
+    end_read(number);
+    journal_.add(AttemptEnded{attempt.id, number, clock_now(), attempt.fetched,
+                              attempt.fetched ? stream_of(number) : std::string(), true});
+  }
+  open_.clear();
+}
+
+}  // namespace calicograde::soak
--- a/src/soak/engines.cpp
+++ b/src/soak/engines.cpp
@@ -1,122 +1,56 @@
 #include "soak/engines.hpp"
 
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include "net/clock.hpp"
 
 namespace calicograde::soak {
 namespace {
 
 using net::clock_now;
+using Kind = EngineCall::Kind;
 
 constexpr Span step = Span::millis(5);  // of a wait
 constexpr Span read_time = Span::millis(25), first_token_time = Span::millis(20),
                event_time = Span::millis(6);
-constexpr int events = 6;
 constexpr std::uint64_t one_in_cut = 3;
 
-// Its content tells attempts apart, so that it is seen whose stream a client got.
-std::string event_text(std::uint64_t attempt, int number) {
-  return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a" + std::to_string(attempt) + "e" +
-         std::to_string(number) + "\"}}]}\n\n";
-}
-
-std::string stream_of(std::uint64_t attempt) {
-  std::string out;
-  for (int k = 0; k < events; ++k) out += event_text(attempt, k);
-  return out + "data: [DONE]\n\n";
-}
-
 }  // namespace
 
-void HeldState::read_begins(const std::string& id) {
-  const std::lock_guard lock(mutex_);
-  reading_.insert(id);
-}
-
-void HeldState::read_ends(const std::string& id) {
-  const std::lock_guard lock(mutex_);
-  if (const auto it = reading_.find(id); it != reading_.end()) reading_.erase(it);
-}
-
-void HeldState::hold(const std::string& id, std::size_t engine) {
-  const std::lock_guard lock(mutex_);
-  states_.insert(id);
-  if (held_[id].insert(engine).second) journal_.add(HoldBegan{id, engine, clock_now()});
-}
-
-bool HeldState::grant_place(const std::string& id, std::size_t engine) {
-  const std::lock_guard lock(mutex_);
-  if (!reading_.contains(id)) return false;
-  if (held_[id].insert(engine).second) journal_.add(HoldBegan{id, engine, clock_now()});
-  return true;
-}
-
-void HeldState::drop(std::map<std::string, std::set<std::size_t>>::iterator held) {
-  for (const std::size_t engine : held->second) journal_.add(HoldEnded{held->first, engine, clock_now()});
-  held_.erase(held);
-}
-
-bool HeldState::fetch(const std::string& id) {
-  const std::lock_guard lock(mutex_);
-  if (states_.erase(id) == 0) return false;
-  if (const auto it = held_.find(id); it != held_.end()) drop(it);
-  return true;
-}
-
-void HeldState::release(const std::string& id) {
-  const std::lock_guard lock(mutex_);
-  states_.erase(id);
-  if (const auto it = held_.find(id); it != held_.end()) drop(it);
-}
-
-void HeldState::forget_engine(std::size_t engine) {
-  const std::lock_guard lock(mutex_);
-  for (auto it = held_.begin(); it != held_.end();) {
-    const auto here = it++;
-    if (here->second.erase(engine) == 0) continue;
-    journal_.add(HoldEnded{here->first, engine, clock_now()});
-    if (here->second.empty()) states_.erase(here->first), held_.erase(here);
-  }
-}
-
 struct SoakEngine::Attempt {
   Attempt(SoakEngine& of, std::string request_id)
-      : engine(of), id(std::move(request_id)), number(++of.attempts_), life(of.life_) {
-    engine.journal_.add(AttemptBegan{id, engine.number_, number, engine.role_, clock_now()});
-    if (engine.role_ == Role::Prefill) engine.held_.read_begins(id);
-  }
+      : engine(of), id(std::move(request_id)), number(of.channel_.call(Kind::AttemptBegan, id)) {}
   ~Attempt() {
-    if (engine.role_ == Role::Prefill) engine.held_.read_ends(id);
-    engine.journal_.add(AttemptEnded{id, number, clock_now(), ran, stream, broken});
+    EngineCall end;
+    end.kind = Kind::AttemptEnded;
+    end.number = number;
+    end.has_stream = has_stream;
+    end.broken = broken;
+    end.set_id(id);
+    engine.channel_.call(end);
   }
-  bool of_this_life() const { return life == engine.life_; }
   SoakEngine& engine;
   const std::string id;
   const std::uint64_t number;
-  const int life;
-  bool ran = false, broken = false;
-  std::string stream;
+  bool has_stream = false, broken = false;
 };
 
-SoakEngine::SoakEngine(std::size_t number, Role role, HeldState& held, Journal& journal,
-                       std::atomic<std::uint64_t>& attempts)
-    : number_(number),
-      role_(role),
-      held_(held),
-      journal_(journal),
-      attempts_(attempts),
-      server_([this](net::Stream s) { serve(std::move(s)); }) {}
+SoakEngine::SoakEngine(Role role, unsigned short port, EngineChannel& channel)
+    : role_(role), channel_(channel), server_([this](net::Stream s) { serve(std::move(s)); }, port) {}
 
 SoakEngine::~SoakEngine() { stopping_ = true; }
 
-std::string SoakEngine::address() const { return server_.address(); }
-void SoakEngine::hang(bool on) { hanging_ = on; }
-
-void SoakEngine::restart() {
-  ++life_;
-  server_.drop_connections();
-  held_.forget_engine(number_);
+void SoakEngine::set(const EngineCommand& command) {
+  switch (command.fault) {
+    case EngineCommand::Fault::Hang: hanging_ = command.on; break;
+    case EngineCommand::Fault::CutAnswers: cutting_ = command.on; break;
+    case EngineCommand::Fault::DoubleAnswers: doubling_ = command.on; break;
+  }
 }
 
 bool SoakEngine::work(http::ServerConnection& connection, Span time) const {
@@ -133,19 +67,24 @@
   http::ServerConnection connection(std::move(stream), limits);
   http::Request request;
   while (!stopping_ && connection.read(request) == http::ReadEnd::Ok) {
-    if (request.target.starts_with("/state/")) serve_state(request, connection);
-    else if (!serve_attempt(request, connection)) return;
+    if (request.target.starts_with("/health/")) {
+      if (!work(connection, Span{}) || !connection.respond(200, {}, "", true)) return;
+    } else if (request.target.starts_with("/state/")) {
+      serve_state(request, connection);
+    } else if (!serve_attempt(request, connection)) {
+      return;
+    }
   }
 }
 
 void SoakEngine::serve_state(const http::Request& request, http::ServerConnection& connection) {
   const std::string id = request.target.substr(std::string_view("/state/").size());
   if (request.method == "DELETE") {
-    held_.release(id);  // it counts once its last byte has come, answered or not
+    channel_.call(Kind::Release, id);  // it counts once its last byte has come, answered or not
     if (work(connection, Span{})) connection.respond(204, {}, "", true);
     return;
   }
-  const bool granted = held_.grant_place(id, number_);
+  const bool granted = channel_.call(Kind::GrantPlace, id) != 0;
   if (work(connection, Span{})) connection.respond(granted ? 200 : 204, {}, "", true);
 }
 
@@ -156,36 +95,46 @@
 
 bool SoakEngine::read_prompt(Attempt& attempt, http::ServerConnection& connection) {
   if (!work(connection, read_time)) return false;
-  if (!attempt.of_this_life()) return false;
-  held_.hold(attempt.id, number_);
+  channel_.call(Kind::Hold, attempt.id);
   if (cutting_ && attempt.number % one_in_cut == 0) return connection.stream().reset_hard(), false;
+  // Once the answer is out no place is granted for this read any more.
+  channel_.call(Kind::ReadEnded, attempt.id, attempt.number);
   if (!connection.respond(202, {}, R"({"cached_tokens":64})", true)) return false;
   if (doubling_) connection.respond(202, {}, R"({"cached_tokens":1})", true);
   return true;
 }
 
 bool SoakEngine::write_answer(Attempt& attempt, http::ServerConnection& connection) {
-  if (!held_.fetch(attempt.id)) {
+  if (channel_.call(Kind::Fetch, attempt.id, attempt.number) == 0) {
     if (!work(connection, Span{})) return false;
     return connection.respond(410, {{"Not-Started", "1"}}, "", true);
   }
-  attempt.ran = true;  // from here on it may have had its effect
-  attempt.stream = stream_of(attempt.number);
+  attempt.has_stream = true;
   const bool cut = cutting_ && attempt.number % one_in_cut == 0;
   if (!work(connection, first_token_time)) return false;
   if (cut && attempt.number % 2 == 0) return attempt.broken = true, connection.stream().reset_hard(), false;
-  if (!attempt.of_this_life()) return attempt.broken = true, false;
   if (!connection.begin_stream(200, {{"content-type", "text/event-stream"}})) return false;
-  for (int k = 0; k < events; ++k) {
-    if (!work(connection, event_time)) return attempt.broken = !attempt.of_this_life(), false;
-    if (!attempt.of_this_life()) return attempt.broken = true, false;
-    if (cut && k == events / 2) return attempt.broken = true, connection.stream().reset_hard(), false;
-    if (!connection.piece(event_text(attempt.number, k)))
-      return attempt.broken = !attempt.of_this_life(), false;
+  for (int k = 0; k < events_each; ++k) {
+    if (!work(connection, event_time)) return false;
+    if (cut && k == events_each / 2) return attempt.broken = true, connection.stream().reset_hard(), false;
+    if (!connection.piece(event_of(attempt.number, k))) return false;
   }
-  if (!connection.piece("data: [DONE]\n\n") || !connection.end_stream()) return false;
+  if (!connection.piece(stream_end) || !connection.end_stream()) return false;
   if (doubling_) connection.respond(200, {}, "hi", true);
   return true;
 }
 
+int run_engine(Role role, unsigned short port) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  signal(SIGPIPE, SIG_IGN);
+  EngineChannel channel(calls_descriptor);
+  SoakEngine engine(role, port, channel);
+  channel.call(Kind::Listening, "", engine.port());
+  for (EngineCommand command;;) {
+    const ssize_t got = ::recv(commands_descriptor, &command, sizeof command, 0);
+    if (got == sizeof command) engine.set(command);
+    else if (got >= 0 || errno != EINTR) _exit(0);
+  }
+}
+
 }  // namespace calicograde::soak
--- a/src/soak/engines.hpp
+++ b/src/soak/engines.hpp
@@ -1,58 +1,22 @@
 #pragma once
 
 #include <atomic>
-#include <condition_variable>
-#include <map>
-#include <memory>
-#include <mutex>
-#include <set>
 #include <string>
 
 #include "lab/platform_standin.hpp"
-#include "soak/journal.hpp"
+#include "soak/engine_channel.hpp"
 
-// The engines of a soak run: stand-ins on loopback, written from the platform's protocol page.
+// An engine of a soak run: a stand-in on loopback, written from the platform's protocol page. Each is a
+// process of its own (engine_process.hpp), so that it can be stopped and killed as one.
 namespace calicograde::soak {
 
-// What all engines hold for requests; a release at any of them releases all. Thread-safe.
-class HeldState {
- public:
-  explicit HeldState(Journal& journal) : journal_(journal) {}
-  void read_begins(const std::string& id);
-  void read_ends(const std::string& id);
-  void hold(const std::string& id, std::size_t engine);
-  // Places are granted only while a read goes on.
-  bool grant_place(const std::string& id, std::size_t engine);
-  // A writer fetches the state: all that is held for the request goes. False where there is none.
-  bool fetch(const std::string& id);
-  void release(const std::string& id);
-  void forget_engine(std::size_t engine);
-
- private:
-  void drop(std::map<std::string, std::set<std::size_t>>::iterator held);
-  Journal& journal_;
-  std::mutex mutex_;
-  std::map<std::string, std::set<std::size_t>> held_;
-  std::set<std::string> states_;
-  std::multiset<std::string> reading_;
-};
-
 class SoakEngine {
  public:
-  SoakEngine(std::size_t number, Role role, HeldState& held, Journal& journal,
-             std::atomic<std::uint64_t>& attempts);
+  // Listens at that port of 127.0.0.1; 0 lets the kernel choose.
+  SoakEngine(Role role, unsigned short port, EngineChannel& channel);
   ~SoakEngine();
-  std::size_t number() const { return number_; }
-  Role role() const { return role_; }
-  std::string name() const { return "s-" + std::to_string(number_); }
-  std::string address() const;
-
-  // Faults, each on until it is set off again.
-  void hang(bool on);                           // takes requests and answers none
-  void cut_answers(bool on) { cutting_ = on; }  // about a third of them
-  void double_answers(bool on) { doubling_ = on; }
-  // Drops its connections and all that it held.
-  void restart();
+  unsigned short port() const { return server_.port(); }
+  void set(const EngineCommand& command);
 
  private:
   struct Attempt;
@@ -64,15 +28,13 @@
   // Until the time has passed and the engine does not hang; false where the other side has left meanwhile.
   bool work(http::ServerConnection& connection, Span time) const;
 
-  const std::size_t number_;
   const Role role_;
-  HeldState& held_;
-  Journal& journal_;
-  std::atomic<std::uint64_t>& attempts_;
-  std::atomic<bool> hanging_ = false, cutting_ = false, doubling_ = false;
-  std::atomic<int> life_ = 0;  // counts restarts
-  std::atomic<bool> stopping_ = false;
+  EngineChannel& channel_;
+  std::atomic<bool> hanging_ = false, cutting_ = false, doubling_ = false, stopping_ = false;
   lab::LoopbackServer server_;
 };
 
+// The main function of an engine process, over the descriptors that it inherits.
+int run_engine(Role role, unsigned short port);
+
 }  // namespace calicograde::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -3,8 +3,10 @@
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <filesystem>
 
 #include "net/socket.hpp"
+#include "soak/engines.hpp"
 #include "soak/soak.hpp"
 
 using namespace calicograde;
@@ -12,9 +14,14 @@
 int main(int argc, char** argv) {
   CLI::App app{"Plays front nodes as real processes on loopback under faults that overlap"};
   soak::Options options;
+  std::string engine_role;
+  unsigned short engine_port = 0;
   std::uint64_t first = 1, seeds = 1;
   int seconds = 14;
-  app.add_option("--daemon", options.daemon, "the calicograded to be played")->required();
+  app.add_option("--daemon", options.daemon, "the calicograded to be played");
+  app.add_option("--engine", engine_role, "be an engine of that role, started by a run")
+      ->check(CLI::IsMember({"prefill", "decode"}));
+  app.add_option("--port", engine_port, "where that engine listens; 0 = the kernel chooses");
   app.add_option("--faults", options.fault_library, "the fault library; none = system calls do not fail");
   app.add_option("--first", first, "the first seed");
   app.add_option("--seeds", seeds, "how many, counted up from the first");
@@ -22,6 +29,13 @@
   app.add_option("--nodes", options.nodes, "front nodes");
   app.add_option("--keep", options.keep_logs_in, "folder for the logs of runs that failed");
   CLI11_PARSE(app, argc, argv);
+  if (!engine_role.empty())
+    return soak::run_engine(engine_role == "prefill" ? soak::Role::Prefill : soak::Role::Decode, engine_port);
+  if (options.daemon.empty()) {
+    std::fprintf(stderr, "--daemon is missing: name the calicograded to be played\n");
+    return 2;
+  }
+  options.engine_program = std::filesystem::read_symlink("/proc/self/exe").string();
   options.length = Span::millis(1000LL * seconds);
   net::lift_descriptor_limit();
   soak::PairCounts pairs;
--- a/src/soak/schedule.cpp
+++ b/src/soak/schedule.cpp
@@ -18,6 +18,8 @@
     case Trouble::EngineDrain:
     case Trouble::EngineGone:
     case Trouble::EngineHang:
+    case Trouble::EngineStop:
+    case Trouble::RoleStop:
     case Trouble::EngineRestart:
     case Trouble::AnswerCut:
     case Trouble::AnswerDoubled: return true;
@@ -49,6 +51,8 @@
     case Trouble::LinkSilent: return "link_silent";
     case Trouble::LateHandshake: return "late_handshake";
     case Trouble::EngineHang: return "engine_hang";
+    case Trouble::EngineStop: return "engine_stop";
+    case Trouble::RoleStop: return "role_stop";
     case Trouble::EngineRestart: return "engine_restart";
     case Trouble::AnswerCut: return "answer_cut";
     case Trouble::AnswerDoubled: return "answer_doubled";
--- a/src/soak/schedule.hpp
+++ b/src/soak/schedule.hpp
@@ -24,6 +24,8 @@
   LinkSilent,         // connections that a node made fall silent: nothing arrives, nothing comes
   LateHandshake,      // connections that a node makes come up late
   EngineHang,         // an engine takes requests and answers none until it goes on
+  EngineStop,         // an engine's process is stopped: the kernel takes what is sent to it, the engine nothing
+  RoleStop,           // all engines of one role but one are stopped so
   EngineRestart,      // an engine drops its connections and all that it held
   AnswerCut,          // an engine breaks answers off, before and after their first event
   AnswerDoubled,      // an engine sends a second answer behind the first
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -10,7 +10,7 @@
 #include "net/clock.hpp"
 #include "soak/client.hpp"
 #include "soak/discovery.hpp"
-#include "soak/engines.hpp"
+#include "soak/engine_process.hpp"
 #include "soak/node_process.hpp"
 #include "soak/oracle.hpp"
 
@@ -68,15 +68,15 @@
 
 class Run {
  public:
-  Run(std::uint64_t seed, const Options& options)
+  Run(const Schedule& schedule, const Options& options)
       : options_(options),
-        schedule_(make_schedule(seed, options.nodes, options.prefill_engines + options.decode_engines,
-                                options.length)),
+        schedule_(schedule),
         held_(journal_),
         program_{options.daemon, options.fault_library, folder_.path()} {
     for (std::size_t k = 0; k < schedule_.engines; ++k) {
       const Role role = k < options.prefill_engines ? Role::Prefill : Role::Decode;
-      engines_.push_back(std::make_unique<SoakEngine>(k, role, held_, journal_, attempts_));
+      engines_.push_back(std::make_unique<EngineProcess>(k, role, options.engine_program, held_, journal_,
+                                                         attempts_));
       list(k, Lifecycle::Ready, 0);
     }
     for (std::size_t k = 0; k < schedule_.nodes; ++k)
@@ -108,7 +108,7 @@
 
  private:
   void list(std::size_t engine, Lifecycle lifecycle, std::int64_t started_at_ms) {
-    const SoakEngine& e = *engines_[engine];
+    const EngineProcess& e = *engines_[engine];
     engine_list_.change(
         engine,
         {0, lifecycle, e.address(), e.role() == Role::Prefill ? "prefill" : "decode", started_at_ms, {}});
@@ -140,7 +140,8 @@
 
   void apply(const Window& w, bool begins) {
     NodeSite& site = *nodes_[w.node];
-    SoakEngine& engine = *engines_[w.engine];
+    EngineProcess& engine = *engines_[w.engine];
+    using Fault = EngineCommand::Fault;
     switch (w.trouble) {
       case Trouble::Sigterm:
         if (begins) site.process.terminate();
@@ -164,17 +165,24 @@
       case Trouble::WatchReset:
         if (begins) site.agent().reset_watches();
         break;
-      case Trouble::EngineHang: engine.hang(begins); break;
+      case Trouble::EngineHang: engine.set(Fault::Hang, begins); break;
+      case Trouble::EngineStop: stop(engine, begins); break;
+      case Trouble::RoleStop:
+        for (const auto& other : engines_)
+          if (other->role() == engine.role() && other.get() != &engine) stop(*other, begins);
+        break;
       case Trouble::EngineRestart:
         if (begins) engine.restart(), list(w.engine, Lifecycle::Ready, keep::moment_now().wall_ms);
         break;
-      case Trouble::AnswerCut: engine.cut_answers(begins); break;
-      case Trouble::AnswerDoubled: engine.double_answers(begins); break;
+      case Trouble::AnswerCut: engine.set(Fault::CutAnswers, begins); break;
+      case Trouble::AnswerDoubled: engine.set(Fault::DoubleAnswers, begins); break;
       case Trouble::DescriptorsUsedUp: use_up_descriptors(site, begins); break;
       default: break;  // those of clients and of the fault library go by the schedule itself
     }
   }
 
+  static void stop(EngineProcess& engine, bool on) { on ? engine.stop() : engine.go_on(); }
+
   void move_discovery(NodeSite& site) {
     if (site.moved) return;
     site.moved = clock_now();
@@ -284,13 +292,19 @@
   EngineList engine_list_;
   std::atomic<std::uint64_t> attempts_ = 0;
   const NodeProgram program_;
-  std::vector<std::unique_ptr<SoakEngine>> engines_;
+  std::vector<std::unique_ptr<EngineProcess>> engines_;
   std::vector<std::unique_ptr<NodeSite>> nodes_;
   Instant began_;
 };
 
 }  // namespace
 
-Result run(std::uint64_t seed, const Options& options) { return Run(seed, options).play(); }
+Result run(std::uint64_t seed, const Options& options) {
+  return run(
+      make_schedule(seed, options.nodes, options.prefill_engines + options.decode_engines, options.length),
+      options);
+}
+
+Result run(const Schedule& schedule, const Options& options) { return Run(schedule, options).play(); }
 
 }  // namespace calicograde::soak
--- a/src/soak/soak.hpp
+++ b/src/soak/soak.hpp
@@ -11,6 +11,7 @@
 
 struct Options {
   std::string daemon, fault_library;
+  std::string engine_program;  // that runs an engine with --engine: calicograde-soak
   std::size_t nodes = 10, prefill_engines = 4, decode_engines = 4, clients_each = 3;
   Span length = Span::millis(14000);
   std::string keep_logs_in;  // of runs that failed; empty = they are dropped
@@ -24,5 +25,6 @@
 
 // Throws std::runtime_error where the run can't be set up.
 Result run(std::uint64_t seed, const Options& options);
+Result run(const Schedule& schedule, const Options& options);
 
 }  // namespace calicograde::soak
--- /dev/null
+++ b/tests/program/stopped_engines_test.cpp
@@ -0,0 +1,53 @@
+// Front nodes beside engines whose processes are stopped (SIGSTOP): the kernel still takes connections and
+// bytes for them, and they take nothing. All as processes of their own; judged by what the engines took.
+#include <gtest/gtest.h>
+
+#include "soak/soak.hpp"
+
+namespace calicograde::soak {
+namespace {
+
+constexpr std::size_t prefill_engines = 4, decode_engines = 5;
+constexpr std::size_t a_prefill_engine = 0, a_decode_engine = prefill_engines;
+
+Options options() {
+  Options out;
+  out.daemon = CALICOGRADED;
+  out.engine_program = CALICOGRADE_SOAK;
+  out.nodes = 3;
+  out.prefill_engines = prefill_engines;
+  out.decode_engines = decode_engines;
+  out.clients_each = 6;
+  out.length = Span::millis(6500);
+  return out;
+}
+
+Result play(std::uint64_t seed, std::vector<Window> windows) {
+  const Options o = options();
+  return run(Schedule{seed, o.nodes, o.prefill_engines + o.decode_engines, o.length, std::move(windows)}, o);
+}
+
+Window stop(Trouble trouble, int from_ms, int length_ms, std::size_t engine) {
+  return {trouble, Span::millis(from_ms), Span::millis(length_ms), 0, engine};
+}
+
+TEST(StoppedEngines, WhatIsHeldIsUsedOrLetGoWhileFourOfFiveDecodeEnginesAreStopped) {
+  const Result result = play(9101, {stop(Trouble::RoleStop, 1200, 1800, a_decode_engine),
+                                    stop(Trouble::RoleStop, 4200, 1500, a_decode_engine + 1)});
+  EXPECT_TRUE(result.passed) << result.report;
+}
+
+TEST(StoppedEngines, WhatIsHeldIsUsedOrLetGoWhileThreeOfFourPrefillEnginesAreStopped) {
+  const Result result = play(9301, {stop(Trouble::RoleStop, 1200, 1800, a_prefill_engine),
+                                    stop(Trouble::RoleStop, 4200, 1500, a_prefill_engine + 1)});
+  EXPECT_TRUE(result.passed) << result.report;
+}
+
+TEST(StoppedEngines, WhatIsHeldIsUsedOrLetGoWhileAllDecodeEnginesAreStopped) {
+  const Result result = play(9501, {stop(Trouble::RoleStop, 1200, 1500, a_decode_engine),
+                                    stop(Trouble::EngineStop, 1200, 1500, a_decode_engine)});
+  EXPECT_TRUE(result.passed) << result.report;
+}
+
+}  // namespace
+}  // namespace calicograde::soak
