A state is let go though a read copy is out, or attempts are used up; reads' lost answers

Now: nothing sent any more, or near the limit, means release whatever read is out; an answered request releases at once; reads, too, are due after three times the longest of the last ones, where these were no smaller.

--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -222,6 +222,7 @@
 };
 struct LetGo {
   InfId inf = 0;
+  bool at_once = false;  // though a read is still out: what is held would wait for it
 };
 struct CancelSend {
   InfId inf = 0;
--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -247,8 +247,10 @@
 }
 
 void Cases::act(Instant, const LetGo& a, std::vector<Event>&) {
-  if (Case* c = find(a.inf)) release(*c, [](const Holding& h) { return !h.awaited_by; });
-  let_loose_go(a.inf);
+  Case* c = find(a.inf);
+  if (c) release(*c, [](const Holding& h) { return !h.awaited_by; });
+  if (c && a.at_once && c->loose && c->holdings.empty() && c->final != Final::Streaming) let_go_now(*c);
+  else let_loose_go(a.inf);
 }
 
 void Cases::act(Instant, const CancelSend& a, std::vector<Event>&) {
@@ -293,12 +295,23 @@
   std::erase_if(c.holdings, which);
 }
 
-// Where all is let go at once: only while nothing is out or held that is still wanted. What a send that is
-// out leaves behind is seen at its end.
+// Where all is let go at once: only while nothing is out or held that is still wanted; once the final answer is
+// given nothing is. What a send that is out leaves behind is seen at its end.
 void Cases::let_loose_go(InfId inf) {
   Case* c = find(inf);
-  if (!c || !c->loose || c->any_out() || !c->holdings.empty()) return;
-  let_go(inf, *std::exchange(c->loose, {}), c->id);
+  if (!c || !c->loose || !c->holdings.empty()) return;
+  const bool answered = c->final == Final::Given && !streams(*c);
+  if (c->any_out() && !answered) return;
+  let_go_now(*c);
+}
+
+bool Cases::streams(const Case& c) {
+  return std::any_of(c.sends.begin(), c.sends.end(), [](const Sent& s) { return s.out && s.started; });
+}
+
+void Cases::let_go_now(Case& c) {
+  const EngineId engine = *std::exchange(c.loose, {});
+  let_go(c.what.inf, engine, c.id);
 }
 
 // The end of a case: the final answer is given and nothing is out. What is still held then is let go,
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -186,6 +186,8 @@
   void answer(Case& c, bool shed, Span retry_after);
   void let_go(InfId inf, const EngineId& engine, const std::string& name);
   void let_loose_go(InfId inf);
+  void let_go_now(Case& c);
+  static bool streams(const Case& c);
   template <class Which>
   void release(Case& c, Which which);
   void settle(InfId inf);
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -1042,7 +1042,8 @@
 
   // Whether what is held for the request waits until the engine shows that it runs.
   static bool needs_sign(const Attempt& a) {
-    return a.order.sign_by && (a.order.leg != Leg::Read || a.control.may_be_held());
+    const bool may_be_held = a.order.leg != Leg::Read || a.control.may_be_held() || a.order.answer_due;
+    return a.order.sign_by && may_be_held;
   }
 
   // The head of an attempt's answer. It is given up early where the connection has fallen silent (the engine's
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -404,10 +404,12 @@
 
   // The state goes to the booked writer; if that said full, left or is in doubt, to the next-lowest.
   void hand_over(Inference& f, Span since_asked) {
+    // A read that is still out, maybe at an engine that does not run, brings nothing that could be sent on.
+    if (is_spent(f) && !f.out_at(false)) return finish(f, true);
     if (!may_send(f)) return give_up_if_idle(f);
     // After an engine that gave no sign there is no time for another that may give none.
     const bool silent_in_this_hold = f.no_sign_since && *f.no_sign_since >= f.held_since;
-    if (silent_in_this_hold && pin_is_near(f) && !f.any_out()) return back_to_queue(f);
+    if (silent_in_this_hold && pin_is_near(f) && !f.out_at(false)) return back_to_queue(f);
     auto best = next_writer(f, engine(*f.state_at), since_asked, false);
     // Nor is anything gained by waiting where no engine is left that has not failed.
     const bool nobody_else = f.no_sign_since && !merely_full(f, false);
@@ -462,6 +464,13 @@
     else back_to_queue(f);
   }
 
+  // Tokens to be read, with what was booked before them.
+  double largest_read() const {
+    double most = 0;
+    for (const double tokens : read_sizes_.since(now_ - sample_life)) most = std::max(most, tokens);
+    return most;
+  }
+
   // Nothing showed that it has arrived. Where the engine gave no sign at all though it was asked, it is doubted.
   void called_off(Inference& f, const Send& s, const SendEnded& ended) {
     if (!f.no_sign_since) f.no_sign_since = s.at;
@@ -483,7 +492,9 @@
 
   void back_to_queue(Inference& f) {
     unbook(f);
-    out_.push_back(LetGo{f.what.inf});  // a failed writer may still hold a place that nothing here remembers
+    // A failed writer may still hold a place that nothing here remembers.
+    out_.push_back(LetGo{f.what.inf, f.state_at.has_value()});
+    f.state_at.reset();
     f.phase = Phase::Waiting;
     if (!may_send(f)) give_up_if_idle(f);
   }
@@ -736,6 +747,9 @@
     return s_.second_copies && route(f.what).effect != Effect::Deduped;
   }
 
+  // Nothing can be sent for it any more, whatever comes.
+  bool is_spent(const Inference& f) const { return f.sends_made() >= s_.max_sends || window_over(f); }
+
   bool may_repeat() const { return s_.repeat_share <= 0 || repeats_ >= 1; }
 
   bool may_shed(const Inference& f) const {
@@ -773,8 +787,10 @@
     const SignWait wait = wait_for_a_sign(s_.pin_limit, to_reader ? Span{} : now_ - f.held_since);
     order.sign_within = wait.call_off_after;
     if (s_.may_probe) order.probe_after = wait.probe_after;
+    const LastFew& seen = to_reader ? read_times_ : after_read_;
+    const bool usual = !to_reader || f.sends.back().work + f.what.prompt_tokens <= largest_read();
+    order.answer_due = usual && answer_is_due(wait.call_off_after, seen.since(now_ - sample_life));
     if (to_reader) return;
-    order.answer_due = answer_is_due(wait.call_off_after, after_read_.since(now_ - sample_life));
     order.reach = std::min(order.reach, wait.write_within);
     const Span bound = order.write_within > Span{} ? order.write_within : wait.write_within;
     order.write_within = std::min(bound, wait.write_within);
@@ -896,6 +912,7 @@
     if (e.doubted && bad < failing_share * all) trust(id, e);
     if (end.as != EndedAs::ReadDone) return;
     const double took = end.elapsed.seconds(), tokens = s.work + read_overhead;
+    read_times_.add(now_, took), read_sizes_.add(now_, s.work + f.what.prompt_tokens);
     const double beyond = took - 2 * tokens / rate(e.entry.kind);
     e.pace.add(now_, took / tokens), e.waits.add(now_, beyond), waits_.add(now_, beyond);
   }
@@ -915,8 +932,8 @@
   void look_after(Inference& f) {
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return;
     if (f.ends - now_ <= answer_margin) return finish(f);
-    if (f.phase == Phase::Handing && !f.any_out() && now_ >= f.not_before) hand_over(f, tick);
-    if (f.phase == Phase::Handing && !f.any_out() && pin_is_near(f)) back_to_queue(f);
+    if (f.phase == Phase::Handing && !f.out_at(false) && now_ >= f.not_before) hand_over(f, tick);
+    if (f.phase == Phase::Handing && !f.out_at(false) && pin_is_near(f)) back_to_queue(f);
     if (f.phase == Phase::Reading || f.phase == Phase::Answering) rescue(f);
   }
 
@@ -1017,7 +1034,7 @@
   double ready_readers_ = 0, ready_writers_ = 0;      // engines, by the last list
   double repeats_ = repeats_least;                    // that may be sent now
   std::vector<std::set<std::uint8_t>> closed_zones_;  // by route
-  LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_{samples_kept},
+  LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_{samples_kept}, read_times_{samples_kept}, read_sizes_{samples_kept},
       homes_{bookings_kept};
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
   double home_found_ = 0.5;    // of a prompt beyond its shared text, what its home was lately seen to keep
--- a/src/soak/fault_proxy.cpp
+++ b/src/soak/fault_proxy.cpp
@@ -63,7 +63,8 @@
 
   void run(const std::atomic<bool>& stopping) {
     while (!stopping) {
-      pollfd both[] = {{from_.fd(), POLLIN, 0}, {to_.fd(), POLLIN, 0}};
+      // A negative descriptor is passed over: nothing more comes from that side.
+      pollfd both[] = {{from_ended_ ? -1 : from_.fd(), POLLIN, 0}, {to_ended_ ? -1 : to_.fd(), POLLIN, 0}};
       if (::poll(both, 2, static_cast<int>(looks_every.as_millis())) <= 0) continue;
       if (both[0].revents != 0 && !pass(from_, to_)) return;
       if (both[1].revents != 0 && !pass(to_, from_)) return;
@@ -78,7 +79,7 @@
     in.set_deadline(clock_now());
     const std::size_t got = in.read_some(boost::asio::buffer(buffer), ec);
     if (got == 0 && ec == boost::asio::error::timed_out) return true;
-    if (got == 0) return end(ec == boost::asio::error::eof), false;
+    if (got == 0) return ends(in, out, ec == boost::asio::error::eof);
     return silent_ || pass_on({buffer, got}, out);
   }
 
@@ -89,7 +90,7 @@
       case ProxyFault::Pieces: return write_in_pieces(bytes, out);
       case ProxyFault::Reset:
         write_all(out, bytes.substr(0, bytes.size() / 2));
-        return end(false), false;
+        return reset_both(), false;
       case ProxyFault::HalfBytes:
         silent_ = true;
         return write_all(out, bytes.substr(0, bytes.size() / 2));
@@ -105,15 +106,21 @@
     return true;
   }
 
-  // An end of one side is the other's; a silent connection tells nothing of it.
-  void end(bool orderly) {
-    if (silent_) return;
-    if (!orderly) from_.reset_hard(), to_.reset_hard();
+  // An end of one side's sending is passed on; the other may still answer. A silent connection tells nothing.
+  bool ends(net::Stream& in, net::Stream& out, bool orderly) {
+    bool& ended = &in == &from_ ? from_ended_ : to_ended_;
+    ended = true;
+    if (!orderly && !silent_) reset_both();
+    if (!orderly || (from_ended_ && to_ended_)) return false;
+    if (!silent_) out.end_sending();
+    return true;
   }
 
+  void reset_both() { from_.reset_hard(), to_.reset_hard(); }
+
   net::Stream from_, to_;
   Faults& faults_;
-  bool silent_ = false;
+  bool silent_ = false, from_ended_ = false, to_ended_ = false;
 };
 
 }  // namespace
