--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -491,10 +491,10 @@
   }
 
   void back_to_queue(Inference& f) {
+    const bool has_state = f.state_at.has_value();
     unbook(f);
     // A failed writer may still hold a place that nothing here remembers.
-    out_.push_back(LetGo{f.what.inf, f.state_at.has_value()});
-    f.state_at.reset();
+    out_.push_back(LetGo{f.what.inf, has_state});
     f.phase = Phase::Waiting;
     if (!may_send(f)) give_up_if_idle(f);
   }
--- a/tests/program/cases_test.cpp
+++ b/tests/program/cases_test.cpp
@@ -273,6 +273,32 @@
   }
 }
 
+// Found by the soak: a copy of the read at an engine that was stopped kept the release back.
+TEST(Cases, WhatIsHeldIsLetGoThoughAReadIsOutOnceNothingIsWanted) {
+  const Instant t = Instant::at(ms(1));
+  for (const bool answered : {true, false}) {
+    Cases c = whole_release_with_7_taken(t);
+    std::vector<Event> more;
+    c.obey(t, {SendTo{7, eng(1), {}}, SendTo{7, eng(1), {}}}, more);
+    c.ended(t, 7, 0, Ending{.as = EndedAs::ReadDone, .state = "kept", .report = {}});
+    c.take_orders();
+    c.obey(t, {LetGo{7}}, more);
+    EXPECT_TRUE(c.take_orders().empty());  // the other read may still be waited for
+    if (answered) c.obey(t, {Shed{7, {}}, LetGo{7}}, more);
+    else c.obey(t, {LetGo{7, true}}, more);
+    const auto orders = c.take_orders();
+    const auto releases = std::count_if(orders.begin(), orders.end(), [](const Order& o) {
+      return std::holds_alternative<Release>(o);
+    });
+    EXPECT_EQ(releases, 1) << answered;
+    // What the other one leaves is let go as well.
+    c.ended(t, 7, 1, Ending{.as = EndedAs::ReadDone, .state = "kept", .report = {}});
+    c.obey(t, {LetGo{7}}, more);
+    c.tidy(7);
+    EXPECT_EQ(c.take_orders().size(), 1u) << answered;
+  }
+}
+
 TEST(Cases, AReadWhoseAnswerWasLostIsLetGoByName) {
   Cases c("f", settings());
   c.offers({true, true, true});
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -328,6 +328,56 @@
   }
 }
 
+// Found by the soak: a copy of a read stayed out at a stopped engine, and the state that the other one had left
+// waited for its end.
+void read_with_a_silent_copy(World& w) {
+  w.arrive(1, 1000, ms(20000));
+  for (int k = 0; k < 400 && w.sends(1) < 2; ++k) w.pass(ms(10));
+  ASSERT_EQ(w.sends(1), 2u);
+  ASSERT_TRUE(w.sent(1, 0).out && w.sent(1, 1).reader);
+}
+
+TEST(Router, AStateIsLetGoOnceAttemptsAreUsedUpThoughAReadIsOut) {
+  Settings s = settings_with_pin_limit();
+  s.max_sends = 2;
+  World w(s);
+  w.list({entry(1, 0), entry(2, 0), entry(3, 1)});
+  read_with_a_silent_copy(w);
+  w.end(1, 1, EndedAs::ReadDone);
+  EXPECT_EQ(w.infs.at(1).finals, 1);
+  EXPECT_FALSE(w.infs.at(1).holds);
+  EXPECT_EQ(w.broken, "");
+}
+
+TEST(Router, AStateThatNobodyTakesIsLetGoAtTheLimitThoughAReadIsOut) {
+  World w(settings_with_pin_limit());
+  w.list({entry(1, 0), entry(2, 0), entry(3, 1)});
+  read_with_a_silent_copy(w);
+  EngineEntry draining = entry(3, 1);
+  draining.lifecycle = Lifecycle::Draining;
+  w.list({draining}, ListScope::Delta);
+  w.end(1, 1, EndedAs::ReadDone);
+  EXPECT_TRUE(w.infs.at(1).holds);
+  w.pass(w.settings.pin_limit);
+  EXPECT_FALSE(w.infs.at(1).holds);
+  EXPECT_EQ(w.infs.at(1).finals, 0);  // it waits for an engine
+  EXPECT_EQ(w.broken, "");
+}
+
+TEST(Router, TheAnswerOfAReadIsDueOnceReadsAreKnownToTakeLess) {
+  World w(settings_with_pin_limit());
+  w.list({entry(1, 0), entry(3, 1)});
+  for (InfId id = 1; id <= 9; ++id) {
+    w.arrive(id, 800);
+    EXPECT_EQ(w.sent(id, 0).answer_due, id > 8) << id;
+    w.pass(ms(20));
+    w.end(id, 0, EndedAs::ReadDone);
+    w.start(id, 1), w.end(id, 1, EndedAs::Completed);
+  }
+  w.arrive(20, 4000);
+  EXPECT_FALSE(w.sent(20, 0).answer_due);  // larger than any of those
+}
+
 // A connection that falls silent alone takes bytes while its engine goes on answering others: by the first tokens
 // seen lately the answer is due, and the engine is not doubted for it.
 TEST(Router, AnAnswerIsDueOnceFirstTokensAreKnownToComeSooner) {
