--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -114,6 +114,7 @@
   const bool unrun = proves_unrun(e.as) || !e.written;
   if (unrun || s.leg == Leg::Read) s.ran = false;
   s.unrun = unrun, s.gave_state = e.as == EndedAs::ReadDone;
+  if (e.written && e.arrived) c->waits_since.reset();  // it was out, be it between two looks
   // A stream's end, good or bad, is its inference's: what broke is lost. So is a refusal of the client's own
   // words.
   const bool over = s.started || e.answered || c->final != Final::None;
--- a/tests/program/cases_test.cpp
+++ b/tests/program/cases_test.cpp
@@ -421,6 +421,22 @@
   EXPECT_TRUE(told(500).empty());
 }
 
+// Found by the soak: an attempt that began and ended between two looks was not seen to have been out.
+TEST(Cases, AnAttemptBetweenTwoLooksEndsALongHold) {
+  const Instant t = Instant::at(ms(1));
+  Cases c = whole_release_with_7_taken(t);
+  std::vector<Event> more;
+  const auto told = [&](int at) { return c.long_holds(t + ms(at), ms(300), ms(100)); };
+  c.obey(t, {SendTo{7, eng(1), {}}}, more);
+  c.ended(t, 7, 0, Ending{.as = EndedAs::ReadDone, .state = "kept", .report = {}});
+  told(0), told(160);
+  c.obey(t, {SendTo{7, eng(2), {}}}, more);
+  c.ended(t + ms(300), 7, 1, Ending{.as = EndedAs::Errored, .state = {}, .report = {}});
+  EXPECT_TRUE(told(410).empty());
+  EXPECT_TRUE(told(600).empty());
+  EXPECT_EQ(told(820).size(), 1u);
+}
+
 TEST(Cases, ABudgetThatEndsIsAnsweredHereIfTheModuleDoesNot) {
   Cases c("f", settings());
   const Instant t = Instant::at(ms(1));
