Probes do not keep releases waiting; an answer that is due is no trap when all engines slow down

Found by reading the change again. A probe waits for a silent engine up to the pin limit, on the threads of releases; many silent engines could take them all. It goes with the places' now, and what it asks is the dialect's.

answer_is_due went by first tokens that had come; where all engines became slow at once, every attempt was called off before it could show that, for 12 s. One that is called off counts as such a time now, and what must not run twice is not called off for it. Tests: the eleventh request of Router.AnAnswerIsDue..., and StoppedEngines.BusyEngines... on real processes.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -1076,12 +1076,11 @@
   // Whether the engine's process runs: whatever it answers shows that it does.
   void probe(PoolParts& p, const StartSend& s, const net::Address& at) {
     const auto sign = p.signs.of(s.engine);
-    if (!sign->begin_probe()) return;
+    const auto question = p.dialect->probe();
+    if (!question || !sign->begin_probe()) return;
     const Span within = p.settings.routing.pin_limit;
     ++probes;
-    const auto ask = [this, &p, at, sign, engine = s.engine, within] {
-      static const auto nothing = std::make_shared<const std::string>();
-      const Words words{"GET", "/health/live", {{"Host", "service.internal"}}, nothing};
+    const auto ask = [this, &p, at, sign, engine = s.engine, within, words = *question] {
       std::string text;
       const auto head = short_ask(p, engine, at, words, text, within);
       sign->end_probe();
@@ -1089,7 +1088,8 @@
                      {{"engine", std::string_view(net::text_of(at))},
                       {"status", std::int64_t{head ? head->status : 0}}});
     };
-    if (!releases.submit(ask)) sign->end_probe();
+    // Not before releases: it may wait for a silent engine.
+    if (!errands.submit(ask)) sign->end_probe();
   }
 
   // A read that was given up and may be taken yet, once its engine runs again: what it leaves is released.
--- a/src/front/dialect.hpp
+++ b/src/front/dialect.hpp
@@ -42,6 +42,9 @@
   // An engine grants a place only while it knows of the read: it is asked once the read was written.
   virtual bool place_after_read() const = 0;
 
+  // A question that an engine answers at once, whatever it has in work; none where there is no such thing.
+  virtual std::optional<Words> probe() const { return std::nullopt; }
+
   virtual Words release(const Release& release) const = 0;
   virtual bool released(const http::Response& head) const = 0;
   // One release lets go of all that is held for an inference, and any engine takes it; else each state and
--- a/src/node/dialect.cpp
+++ b/src/node/dialect.cpp
@@ -76,6 +76,11 @@
   }
   bool place_after_read() const override { return true; }
 
+  std::optional<Words> probe() const override {
+    static const auto nothing = std::make_shared<const std::string>();
+    return Words{"GET", std::string(platform::live_path), {{"Host", host}}, nothing};
+  }
+
   Words release(const front::Release& r) const override { return bare("DELETE", r.name); }
   bool released(const http::Response& head) const override { return head.status / 100 == 2; }
   bool releases_whole() const override { return true; }
--- a/src/platform/request.hpp
+++ b/src/platform/request.hpp
@@ -15,6 +15,7 @@
 inline constexpr std::string_view completions_path = "/v1/chat/completions";
 inline constexpr std::string_view ready_path = "/health/ready";
 inline constexpr std::string_view state_path = "/state/";
+inline constexpr std::string_view live_path = "/health/live";  // of an engine: a probe
 inline constexpr const char* id_header = "Request-Id";
 inline constexpr const char* timeout_header = "Request-Timeout-Ms";
 inline constexpr const char* not_run_header = "Not-Started";
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -474,6 +474,8 @@
   // Nothing showed that it has arrived. Where the engine gave no sign at all though it was asked, it is doubted.
   void called_off(Inference& f, const Send& s, const SendEnded& ended) {
     if (!f.no_sign_since) f.no_sign_since = s.at;
+    // It took at least so long: where all have become slow, the next ones are waited for.
+    if (!ended.no_sign) (s.to_reader ? read_times_ : after_read_).add(now_, ended.elapsed.seconds());
     Engine* e = engine(s.engine);
     if (e && ended.no_sign && s_.may_probe) doubt(s.engine, *e, true, ended.elapsed.as_millis(), 0);
   }
@@ -788,8 +790,10 @@
     order.sign_within = wait.call_off_after;
     if (s_.may_probe) order.probe_after = wait.probe_after;
     const LastFew& seen = to_reader ? read_times_ : after_read_;
+    // What must not run twice has only this attempt: a sign of the engine is enough for it.
+    const bool only_one = !to_reader && route(f.what).effect == Effect::NonRetriable;
     const bool usual = !to_reader || f.sends.back().work + f.what.prompt_tokens <= largest_read();
-    order.answer_due = usual && answer_is_due(wait.call_off_after, seen.since(now_ - sample_life));
+    order.answer_due = usual && !only_one && answer_is_due(wait.call_off_after, seen.since(now_ - sample_life));
     if (to_reader) return;
     order.reach = std::min(order.reach, wait.write_within);
     const Span bound = order.write_within > Span{} ? order.write_within : wait.write_within;
--- a/tests/program/stopped_engines_test.cpp
+++ b/tests/program/stopped_engines_test.cpp
@@ -22,8 +22,9 @@
   return out;
 }
 
-Result play(std::uint64_t seed, std::vector<Window> windows) {
-  const Options o = options();
+Result play(std::uint64_t seed, std::vector<Window> windows, const RunSettings& settings = {}) {
+  Options o = options();
+  o.settings = settings;
   return run(Schedule{seed, o.nodes, o.prefill_engines + o.decode_engines, o.length, std::move(windows)}, o);
 }
 
@@ -49,5 +50,19 @@
   EXPECT_TRUE(result.passed) << result.report;
 }
 
+// Decode engines that run and take 0.45 s until a first token, with a limit of 0.5 s: a probe tells them from
+// stopped ones, and what has only one attempt is not called off.
+TEST(StoppedEngines, BusyEnginesThatAnswerProbesLoseNoCalls) {
+  RunSettings settings;
+  settings.probes = true;
+  for (Effect& effect : settings.effects) effect = Effect::NonRetriable;
+  std::vector<Window> busy;
+  for (std::size_t k = 0; k < decode_engines; ++k)
+    busy.push_back(stop(Trouble::EngineBusy, 1500, 3000, a_decode_engine + k));
+  const Result result = play(9701, busy, settings);
+  EXPECT_TRUE(result.passed) << result.report;
+  EXPECT_EQ(result.report.find("failed "), std::string::npos) << result.report;
+}
+
 }  // namespace
 }  // namespace calicograde::soak
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -399,6 +399,10 @@
   ASSERT_EQ(w.sends(9), 3u);
   EXPECT_NE(w.sent(9, 2).engine, silent);
   for (const auto& engine : standings(w.router())) EXPECT_FALSE(engine.doubted);
+  // All may have become slow: the next ones are waited for.
+  w.arrive(10);
+  w.end(10, 0, EndedAs::ReadDone);
+  EXPECT_FALSE(w.sent(10, 1).answer_due);
   EXPECT_EQ(w.broken, "");
 }
 
