--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -29,8 +29,8 @@
 enum class DedupeGroup { All, Zone, Rack };
 enum class Lifecycle { Ready, Draining, Gone };
 enum class ListScope { Delta, Full, Cached, Failed };
-// LocalFailure: this machine lacked a thread, a descriptor, memory or a port; nothing was sent, and it says nothing
-// of the engine. Moot: there was no use in sending it any more.
+// LocalFailure: this machine lacked a thread, a descriptor, memory or a port; nothing was sent, and it says
+// nothing of the engine. Moot: there was no use in sending it any more.
 enum class EndedAs {
   Completed,
   Errored,
@@ -157,8 +157,8 @@
   std::optional<LoadReport> report;
   bool on_kept_link = false;  // it went on a connection that had been used before
   bool written = true;        // false: its last byte was not written, so that no engine can have begun it
-  bool arrived = true;        // false: it was written, but nothing shows that its last byte reached the engine
-  bool no_sign = false;       // it was called off, since nothing showed in time that its engine runs
+  bool arrived = true;   // false: it was written, but nothing shows that its last byte reached the engine
+  bool no_sign = false;  // it was called off, since nothing showed in time that its engine runs
 };
 struct ClientLeft {
   InfId inf = 0;
@@ -198,9 +198,9 @@
   std::uint32_t from = 0;
   std::string text;
 };
-using Event = std::variant<Arrived, StreamStarted, PlaceAnswered, SendEnded, ClientLeft, FleetListed,
-                           TimerFired, ProbeEnded, PeerSpoke, ZonesClosed, FrontsCounted, EnginesHeard,
-                           BudgetsEnd>;
+using Event =
+    std::variant<Arrived, StreamStarted, PlaceAnswered, SendEnded, ClientLeft, FleetListed, TimerFired,
+                 ProbeEnded, PeerSpoke, ZonesClosed, FrontsCounted, EnginesHeard, BudgetsEnd>;
 
 // What is to be done.
 struct SendTo {
@@ -211,7 +211,8 @@
   // Where above zero: not written any more once that is over.
   Span write_within = {};
   // Where above zero: called off if nothing shows by then that the engine runs (of a read: where
-  // something may be held for the request); after `probe_after` without a sign the engine is probed, where above zero.
+  // something may be held for the request); after `probe_after` without a sign the engine is probed, where
+  // above zero.
   Span sign_within = {}, probe_after = {};
   // The answer itself is due by then: an engine that runs may not have got what a silent connection took.
   bool answer_due = false;
--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -102,7 +102,8 @@
   const auto may_leave_state = [](const Sent& s) { return s.leg == Leg::Read && !s.gave_state && !s.unrun; };
   for (const Sent& s : c.sends)
     if (may_leave_state(s)) c.loose = s.engine;
-  const auto reads = std::count_if(c.sends.begin(), c.sends.end(), [](const Sent& s) { return s.gave_state; });
+  const auto reads =
+      std::count_if(c.sends.begin(), c.sends.end(), [](const Sent& s) { return s.gave_state; });
   if (reads > 1) c.loose = c.sends.front().engine;
 }
 
@@ -136,8 +137,8 @@
   // A place at the engine that failed or refused is not relied on any more.
   if (s.leg != Leg::Read && e.as != EndedAs::Completed)
     release(*c, [&](const Holding& h) { return h.place && h.engine == s.engine; });
-  const SendEnded event{inf,        send,     s.engine,        e.as,      now - s.at, over, e.kept_tokens,
-                        e.no_state, e.report, e.link_uses > 1, e.written, e.arrived, e.no_sign};
+  const SendEnded event{inf,        send,     s.engine,        e.as,      now - s.at, over,     e.kept_tokens,
+                        e.no_state, e.report, e.link_uses > 1, e.written, e.arrived,  e.no_sign};
   if (over) settle(inf);
   return event;
 }
@@ -296,8 +297,8 @@
   std::erase_if(c.holdings, which);
 }
 
-// Where all is let go at once: only while nothing is out or held that is still wanted; once the final answer is
-// given nothing is. What a send that is out leaves behind is seen at its end.
+// Where all is let go at once: only while nothing is out or held that is still wanted; once the final answer
+// is given nothing is. What a send that is out leaves behind is seen at its end.
 void Cases::let_loose_go(InfId inf) {
   Case* c = find(inf);
   if (!c || !c->loose || !c->holdings.empty()) return;
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -59,7 +59,7 @@
 constexpr Span release_answer = Span::millis(25);
 constexpr Span fresh_sign = Span::millis(100);  // an engine that showed so lately that it runs, still does
 constexpr std::size_t asked_where_none_is_fresh = 3, takers_asked = 32;
-constexpr std::size_t abandoned_calls = 24;  // descriptors that they may take
+constexpr std::size_t abandoned_calls = 24;       // descriptors that they may take
 constexpr double acknowledged_part_of_pin = 0.5;  // of the pin limit: what is left serves one more attempt
 // Between a look at the clock and a write a process may be held up for so long.
 constexpr Span held_up_most = Span::millis(150);
@@ -1046,9 +1046,9 @@
     return a.order.sign_by && may_be_held;
   }
 
-  // The head of an attempt's answer. It is given up early where the connection has fallen silent (the engine's
-  // machine has not acknowledged all of it), and where nothing shows in time that the engine runs: what is
-  // held for the request waits all the while, be it by a read whose answer was lost.
+  // The head of an attempt's answer. It is given up early where the connection has fallen silent (the
+  // engine's machine has not acknowledged all of it), and where nothing shows in time that the engine runs:
+  // what is held for the request waits all the while, be it by a read whose answer was lost.
   BodyEnd read_head(PoolParts& p, const Attempt& a, http::ClientConnection& link, http::Response& head,
                     SendFacts& facts) {
     const StartSend& s = a.order;
@@ -1235,7 +1235,8 @@
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(most), ranked.end());
     std::vector<Taker> out;
     for (std::size_t k = 0; k < most; ++k)
-      if (const auto at = p.book.find(ranked[k].engine)) out.push_back({ranked[k].engine, *at, ranked[k].sign});
+      if (const auto at = p.book.find(ranked[k].engine))
+        out.push_back({ranked[k].engine, *at, ranked[k].sign});
     return out;
   }
 
@@ -1258,9 +1259,8 @@
     // Where the inference has gone no attempt follows.
     const auto open = p.open.find(r.inf);
     const auto gate = open == p.open.end() ? std::make_shared<ReleaseGate>() : open->second.gate;
-    const bool submitted =
-        submit_release(r, [this, &p, r, gate, attempts = gate->order_release(), ordered = clock_now(),
-                           where = takers(p)] {
+    const bool submitted = submit_release(
+        r, [this, &p, r, gate, attempts = gate->order_release(), ordered = clock_now(), where = takers(p)] {
           race_release(p, r, *gate, attempts, ordered, where);
           gate->end_release();
         });
@@ -1293,8 +1293,10 @@
                         {"status", std::int64_t{status}}});
       p.links.give_back(where[engine].at, std::move(link));
     };
-    const auto end = ReleaseRace(words, where.size(), rules, std::move(calls))
-                         .run([&](const http::Response& head) { return p.dialect->released(head); });
+    const auto end =
+        ReleaseRace(words, where.size(), rules, std::move(calls)).run([&](const http::Response& head) {
+          return p.dialect->released(head);
+        });
     if (end == ReleaseRace::End::Taken) return;
     if (end == ReleaseRace::End::NotTaken)
       core.log_.line(Level::Warn, "release not taken",
@@ -1490,7 +1492,7 @@
   Workers workers;   // of sends
   Workers errands;   // places
   Workers releases;  // not behind places that wait for silent engines
-  AbandonedCalls abandoned{abandoned_calls};
+  AbandonedCalls abandoned{std::min(abandoned_calls, settings.short_asks)};
   std::atomic<std::size_t> probes = 0, long_holds = 0;  // so far
   std::atomic<bool> stopping = false;
   std::map<std::size_t, std::atomic<bool>> resync;
--- a/src/front/release_gate.hpp
+++ b/src/front/release_gate.hpp
@@ -23,8 +23,8 @@
     ++releases_;
     return attempts_;
   }
-  // An attempt is about to be written. True once no release is ordered or on its way; false where one still is
-  // at `until`, since its engine may not answer at all.
+  // An attempt is about to be written. True once no release is ordered or on its way; false where one still
+  // is at `until`, since its engine may not answer at all.
   bool begin_attempt(Instant until) {
     std::unique_lock lock(mutex_);
     ++attempts_;
--- a/src/front/release_race.hpp
+++ b/src/front/release_race.hpp
@@ -14,8 +14,8 @@
 class ReleaseRace {
  public:
   struct Rules {
-    Span next_after;         // without an answer for so long, one more engine is asked
-    std::size_t at_once = 1; // asked in the beginning
+    Span next_after;          // without an answer for so long, one more engine is asked
+    std::size_t at_once = 1;  // asked in the beginning
     Instant give_up_at;
   };
   enum class End { Taken, NotTaken, Withheld };
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -130,9 +130,9 @@
   // A new version with this entry; `state`: Ready, Terminating or Gone.
   void change(const std::string& instance, const std::string& host_port, const std::string& kind,
               const std::string& state, long long started = 0);
-  std::string list() const;                 // the whole, as JSON
-  void mute(bool on);                       // no line, not even an empty one
-  void say(const std::string& raw);         // that line, to all that watch
+  std::string list() const;          // the whole, as JSON
+  void mute(bool on);                // no line, not even an empty one
+  void say(const std::string& raw);  // that line, to all that watch
   // The next watches say this after their head, and nothing more.
   void silent_watches(int count, const std::string& first_bytes = "");
   int watches() const { return watches_; }  // opened so far
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -155,8 +155,8 @@
   unsigned short port() const { return port_; }
   // The next connection, or none at the deadline. After stop() those that the kernel had accepted before are
   // still given out, then none: a client may have written its request to them already. Where descriptors have
-  // run out, and not for a moment only, a waiting one is accepted on a spare descriptor, given `refusal` whole, and
-  // closed.
+  // run out, and not for a moment only, a waiting one is accepted on a spare descriptor, given `refusal`
+  // whole, and closed.
   std::optional<Stream> accept(Instant deadline, std::string_view refusal = {});
   void stop();
 
--- a/src/routing/evidence.hpp
+++ b/src/routing/evidence.hpp
@@ -19,8 +19,8 @@
 // Less than this is of no use to an engine that runs.
 constexpr Span least_wait_for_a_sign = Span::millis(20);
 
-// So many times the longest of the last waits for a first token are unusual, once there are enough of them: the
-// connection has fallen silent alone.
+// So many times the longest of the last waits for a first token are unusual, once there are enough of them:
+// the connection has fallen silent alone.
 constexpr double unusual_first_token = 3;
 constexpr std::size_t first_tokens_needed = 8;
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -46,7 +46,7 @@
 constexpr double reader_wait_bound = 0.5, mixed_wait_bound = 0.25, writer_wait_bound = 0.25;  // of a target
 constexpr double writer_seconds = 1.0, far_seconds = 2.0;  // half a writer's memory, and prices, as reading
 constexpr double cold_share = 0.7, cold_surely = 0.2, cold_least = 0.3;  // of the budget; sends a window
-constexpr double unheard_seconds = 100;  // more than any cost in seconds
+constexpr double unheard_seconds = 100;                                  // more than any cost in seconds
 constexpr double silence_deviations = 6.0, failing_share = 0.25;
 constexpr double repeats_least = 10, repeats_for = 10;  // sends; seconds of first ones that fill the budget
 constexpr double needed_margin = 1.5;                   // what seems just in time is late
@@ -413,7 +413,8 @@
     auto best = next_writer(f, engine(*f.state_at), since_asked, false);
     // Nor is anything gained by waiting where no engine is left that has not failed.
     const bool nobody_else = f.no_sign_since && !merely_full(f, false);
-    if (!best && (nobody_else || pin_is_near(f))) best = next_writer(f, engine(*f.state_at), since_asked, true);
+    if (!best && (nobody_else || pin_is_near(f)))
+      best = next_writer(f, engine(*f.state_at), since_asked, true);
     if (!best) return;  // tried again by timer until the pin limit is near
     book_writer(f, *best);
     f.phase = Phase::Answering;
@@ -436,8 +437,8 @@
     return lowest(measure).second;
   }
 
-  // A pin limit below the time-out of connections must not keep every new one from being made. After an engine
-  // that gave no sign, a part of what is left has to do (ask_for_a_sign).
+  // A pin limit below the time-out of connections must not keep every new one from being made. After an
+  // engine that gave no sign, a part of what is left has to do (ask_for_a_sign).
   bool has_time_to_connect(const Inference& f) const {
     const Span left = s_.pin_limit - (now_ - f.held_since);
     const Span most = (f.no_sign_since ? left : s_.pin_limit) * part_for_a_sign;
@@ -471,7 +472,8 @@
     return most;
   }
 
-  // Nothing showed that it has arrived. Where the engine gave no sign at all though it was asked, it is doubted.
+  // Nothing showed that it has arrived. Where the engine gave no sign at all though it was asked, it is
+  // doubted.
   void called_off(Inference& f, const Send& s, const SendEnded& ended) {
     if (!f.no_sign_since) f.no_sign_since = s.at;
     // It took at least so long: where all have become slow, the next ones are waited for.
@@ -793,7 +795,8 @@
     // What must not run twice has only this attempt: a sign of the engine is enough for it.
     const bool only_one = !to_reader && route(f.what).effect == Effect::NonRetriable;
     const bool usual = !to_reader || f.sends.back().work + f.what.prompt_tokens <= largest_read();
-    order.answer_due = usual && !only_one && answer_is_due(wait.call_off_after, seen.since(now_ - sample_life));
+    order.answer_due =
+        usual && !only_one && answer_is_due(wait.call_off_after, seen.since(now_ - sample_life));
     if (to_reader) return;
     order.reach = std::min(order.reach, wait.write_within);
     const Span bound = order.write_within > Span{} ? order.write_within : wait.write_within;
@@ -1038,8 +1041,8 @@
   double ready_readers_ = 0, ready_writers_ = 0;      // engines, by the last list
   double repeats_ = repeats_least;                    // that may be sent now
   std::vector<std::set<std::uint8_t>> closed_zones_;  // by route
-  LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_{samples_kept}, read_times_{samples_kept}, read_sizes_{samples_kept},
-      homes_{bookings_kept};
+  LastFew links_{8}, far_moves_{8}, near_moves_{8}, waits_{16}, after_read_{samples_kept},
+      read_times_{samples_kept}, read_sizes_{samples_kept}, homes_{bookings_kept};
   std::deque<TextKey> texts_;  // shared texts of the last arrivals
   double home_found_ = 0.5;    // of a prompt beyond its shared text, what its home was lately seen to keep
   std::map<std::uint8_t, Paces> paces_;
--- a/src/soak/engine_channel.hpp
+++ b/src/soak/engine_channel.hpp
@@ -9,7 +9,8 @@
 #include "soak/journal.hpp"
 
 // How an engine process tells the process of the run what happens to it, and is told which faults it is to
-// have. Both ends are the same program on one machine: messages are plain structures on a SOCK_SEQPACKET pair.
+// have. Both ends are the same program on one machine: messages are plain structures on a SOCK_SEQPACKET
+// pair.
 namespace calicograde::soak {
 
 // Descriptors that an engine process inherits.
--- a/src/soak/engine_process.hpp
+++ b/src/soak/engine_process.hpp
@@ -27,10 +27,10 @@
   Role role() const { return role_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
-  void stop();                                      // SIGSTOP; counts how often
-  void go_on();                                     // SIGCONT once each stop has its end
-  void set(EngineCommand::Fault fault, bool on);    // kept over a restart
-  void restart();                                   // SIGKILL, and a new process at the same address
+  void stop();                                    // SIGSTOP; counts how often
+  void go_on();                                   // SIGCONT once each stop has its end
+  void set(EngineCommand::Fault fault, bool on);  // kept over a restart
+  void restart();                                 // SIGKILL, and a new process at the same address
 
  private:
   struct OpenAttempt {
--- a/src/soak/fault_proxy.cpp
+++ b/src/soak/fault_proxy.cpp
@@ -88,12 +88,8 @@
       case ProxyFault::Silence: silent_ = true; return true;
       case ProxyFault::Delay: ::usleep(delay_us); return write_all(out, bytes);
       case ProxyFault::Pieces: return write_in_pieces(bytes, out);
-      case ProxyFault::Reset:
-        write_all(out, bytes.substr(0, bytes.size() / 2));
-        return reset_both(), false;
-      case ProxyFault::HalfBytes:
-        silent_ = true;
-        return write_all(out, bytes.substr(0, bytes.size() / 2));
+      case ProxyFault::Reset: write_all(out, bytes.substr(0, bytes.size() / 2)); return reset_both(), false;
+      case ProxyFault::HalfBytes: silent_ = true; return write_all(out, bytes.substr(0, bytes.size() / 2));
       default: return write_all(out, bytes);
     }
   }
--- a/src/soak/journal.hpp
+++ b/src/soak/journal.hpp
@@ -111,7 +111,8 @@
   int status = 0;
 };
 using Entry = std::variant<RequestSent, RequestEnded, AttemptBegan, AttemptEnded, HoldBegan, HoldEnded,
-                           LifecycleTold, EngineStopped, EngineStarted, EngineWentOn, NodeStarted, NodeReady, NodeTerminated, NodeEnded>;
+                           LifecycleTold, EngineStopped, EngineStarted, EngineWentOn, NodeStarted, NodeReady,
+                           NodeTerminated, NodeEnded>;
 
 // What was seen of one request, a line each; times are counted from `zero`.
 std::string story_of(const std::vector<Entry>& entries, const std::string& id, Instant zero);
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -64,10 +64,10 @@
       std::printf("seed %llu: FAILED; %s\n", static_cast<unsigned long long>(seed), problem.what());
     }
     std::fflush(stdout);
-    soak::count_pairs(soak::make_schedule(seed, options.nodes,
-                                          options.prefill_engines + options.decode_engines, options.length,
-                                          options.only),
-                      pairs);
+    soak::count_pairs(
+        soak::make_schedule(seed, options.nodes, options.prefill_engines + options.decode_engines,
+                            options.length, options.only),
+        pairs);
   }
   std::printf("%s%llu seeds, %.2f node hours\n%llu passed, %llu failed\n", soak::table_of(pairs).c_str(),
               static_cast<unsigned long long>(seeds), node_seconds / 3600,
--- a/src/soak/node_process.cpp
+++ b/src/soak/node_process.cpp
@@ -56,9 +56,9 @@
 void NodeProcess::start(const std::string& faults) {
   const std::lock_guard lock(mutex_);
   ++generation_, killed_ = overdue_ = false, terminated_.reset(), address_.reset();
-  std::vector<std::string> own{"NODE_CONFIG=" +
-                               (program_.folder / ("node" + std::to_string(number_) + ".json")).string(),
-                               "CALICOGRADE_LOG_LEVEL=debug"};
+  std::vector<std::string> own{
+      "NODE_CONFIG=" + (program_.folder / ("node" + std::to_string(number_) + ".json")).string(),
+      "CALICOGRADE_LOG_LEVEL=debug"};
   if (!program_.fault_library.empty()) {
     own.push_back("LD_PRELOAD=" + program_.fault_library);
     own.push_back("CALICOGRADE_FAULTS=" + faults);
--- a/src/soak/oracle.cpp
+++ b/src/soak/oracle.cpp
@@ -150,8 +150,8 @@
       violated(Rule::Lost, at, id + ": answered long after its deadline");
   }
 
-  // When an attempt was written at the earliest, by what its engine tells: of what is taken right after a stop,
-  // that is when the stop began.
+  // When an attempt was written at the earliest, by what its engine tells: of what is taken right after a
+  // stop, that is when the stop began.
   Instant written(const Attempt& a) const {
     const auto it = stops_.find(a.engine);
     if (it == stops_.end()) return a.began;
@@ -177,7 +177,8 @@
           return b.node == r.sent->node && r.ended->at >= b.from - limits_.scheduling &&
                  r.ended->at <= b.until + limits_.scheduling;
         });
-    if (!excused && !link_broke && !cut_by_late_kill(*r.sent)) violated(Rule::Lost, r.ended->at, id + ": its stream was cut off");
+    if (!excused && !link_broke && !cut_by_late_kill(*r.sent))
+      violated(Rule::Lost, r.ended->at, id + ": its stream was cut off");
   }
 
   void judge_effects(const std::string& id, const Request& r) {
@@ -313,8 +314,8 @@
                                       [](const ColdAttempt& a) { return a.told; });
       if (static_cast<std::size_t>(told) * 3 > count * 2)
         violated(Rule::SlowStart, attempts[to].at,
-                 "engine " + std::to_string(start.engine) + " got " + std::to_string(count) + " attempts of " +
-                     std::to_string(allowed) + " allowed");
+                 "engine " + std::to_string(start.engine) + " got " + std::to_string(count) +
+                     " attempts of " + std::to_string(allowed) + " allowed");
       return;  // the first fall decides
     }
   }
--- a/src/soak/oracle.hpp
+++ b/src/soak/oracle.hpp
@@ -17,9 +17,9 @@
 };
 struct Limits {
   Span pin_limit, drain_grace, dedupe_window;
-  Span late = Span::millis(500);        // an answer after its deadline that is late, not lost
-  Span pin_slack = Span::millis(300);   // of what is held
-  Span drain_slack = Span::millis(50);  // of a send to an engine that drains
+  Span late = Span::millis(500);                // an answer after its deadline that is late, not lost
+  Span pin_slack = Span::millis(300);           // of what is held
+  Span drain_slack = Span::millis(50);          // of a send to an engine that drains
   Span owed_after_sigterm = Span::millis(700);  // a stream of a later request must end before the kill
   Span begin_after_leave = Span::millis(100);
   // Slow start: zero = not judged.
--- a/src/soak/run_settings.cpp
+++ b/src/soak/run_settings.cpp
@@ -23,11 +23,12 @@
 
 std::string class_json(const char* name, const RunSettings& settings, Effect effect) {
   char text[320];
-  std::snprintf(text, sizeof text, R"({"name":"%s","aim":%.1f,"give_up":%.1f,"worth":1.0,"effect":"%s")", name,
-                settings.give_up.as_millis() * 0.4, settings.give_up.as_millis(), name_of(effect));
+  std::snprintf(text, sizeof text, R"({"name":"%s","aim":%.1f,"give_up":%.1f,"worth":1.0,"effect":"%s")",
+                name, settings.give_up.as_millis() * 0.4, settings.give_up.as_millis(), name_of(effect));
   std::string out = text;
   if (effect == Effect::Deduped) {
-    std::snprintf(text, sizeof text, R"(,"key_scope":"all","window":%.1f)", settings.dedupe_window.as_millis());
+    std::snprintf(text, sizeof text, R"(,"key_scope":"all","window":%.1f)",
+                  settings.dedupe_window.as_millis());
     out += text;
   }
   return out + "}";
@@ -52,8 +53,8 @@
  "holds_allowed":%s,"token_aim":[70.0,70.0,70.0]},
  "rules":{"drain_grace":%.1f,"cold":%.1f,"cold_from":%g,"fall":%.1f,"fall_multiple":%g})",
                 max_attempts, connect_timeout.as_millis(), name_of(cancelling), name_of(probes),
-                name_of(second_copies), pin_limit.as_millis(), name_of(holds_places),
-                drain_grace.as_millis(), cold.as_millis(), cold_from, fall.as_millis(), fall_multiple);
+                name_of(second_copies), pin_limit.as_millis(), name_of(holds_places), drain_grace.as_millis(),
+                cold.as_millis(), cold_from, fall.as_millis(), fall_multiple);
   return R"({"classes":[
  )" + classes +
          "],\n " + text + "}";
@@ -83,8 +84,7 @@
   s.drain_grace = Span::millis(one_of({250, 500, 500, 1000}));
   s.dedupe_window = Span::millis(one_of({600, 1500, 1500, 4000}));
   s.connect_timeout = Span::millis(one_of({150, 250, 300}));
-  for (Effect& effect : s.effects)
-    effect = static_cast<Effect>(one_of({0, 0, 1, 1, 2}));
+  for (Effect& effect : s.effects) effect = static_cast<Effect>(one_of({0, 0, 1, 1, 2}));
   s.holds_places = likely(7);
   s.probes = likely(5);
   s.cancelling = likely(8);
--- a/src/soak/schedule.hpp
+++ b/src/soak/schedule.hpp
@@ -13,27 +13,27 @@
 namespace calicograde::soak {
 
 enum class Trouble {
-  Sigterm,            // a node is told to end while its clients go on, and is started again
-  Sighup,             // a node's configuration moves discovery to another address
-  Sigkill,            // a node is killed and started again
-  EngineDrain,        // discovery tells that an engine drains; later it is ready again
-  EngineGone,         // discovery tells that an engine has gone; later it is back, freshly started
-  DiscoveryDown,      // a node's discovery agent accepts connections and says nothing, and learns nothing
-  DiscoveryCrowded,   // a node's discovery agent answers late
-  WatchSilent,        // open watches stay open and bring nothing more
-  WatchReset,         // open watches are reset
-  LinkSilent,         // connections that a node made fall silent: nothing arrives, nothing comes
-  LateHandshake,      // connections that a node makes come up late
-  EngineHang,         // an engine takes requests and answers none until it goes on
-  EngineStop,         // an engine's process is stopped: the kernel takes what is sent to it, the engine nothing
-  RoleStop,           // all engines of one role but one are stopped so
-  EngineBusy,         // a decode engine runs, and takes long until its first tokens
-  EngineRestart,      // an engine drops its connections and all that it held
-  AnswerCut,          // an engine breaks answers off, before and after their first event
-  AnswerDoubled,      // an engine sends a second answer behind the first
-  ClientLeaves,       // clients close their connections while they wait
-  ClientStops,        // clients stop in mid-request and stay
-  RetryStorm,         // clients that were refused or failed ask again at once, several times
+  Sigterm,           // a node is told to end while its clients go on, and is started again
+  Sighup,            // a node's configuration moves discovery to another address
+  Sigkill,           // a node is killed and started again
+  EngineDrain,       // discovery tells that an engine drains; later it is ready again
+  EngineGone,        // discovery tells that an engine has gone; later it is back, freshly started
+  DiscoveryDown,     // a node's discovery agent accepts connections and says nothing, and learns nothing
+  DiscoveryCrowded,  // a node's discovery agent answers late
+  WatchSilent,       // open watches stay open and bring nothing more
+  WatchReset,        // open watches are reset
+  LinkSilent,        // connections that a node made fall silent: nothing arrives, nothing comes
+  LateHandshake,     // connections that a node makes come up late
+  EngineHang,        // an engine takes requests and answers none until it goes on
+  EngineStop,     // an engine's process is stopped: the kernel takes what is sent to it, the engine nothing
+  RoleStop,       // all engines of one role but one are stopped so
+  EngineBusy,     // a decode engine runs, and takes long until its first tokens
+  EngineRestart,  // an engine drops its connections and all that it held
+  AnswerCut,      // an engine breaks answers off, before and after their first event
+  AnswerDoubled,  // an engine sends a second answer behind the first
+  ClientLeaves,   // clients close their connections while they wait
+  ClientStops,    // clients stop in mid-request and stay
+  RetryStorm,     // clients that were refused or failed ask again at once, several times
   DescriptorsUsedUp,  // idle connections use up a node's share of descriptors
   WallClockStep,      // a node's wall clock is an hour off, from the start or from some moment on
   SystemCalls,        // a node's system calls are interrupted, shortened, or fail for a moment
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -26,7 +26,7 @@
 constexpr Span old_discovery_ends = Span::millis(1000);
 constexpr std::size_t idle_connections = 400;
 constexpr Span silent_stream_ends = Span::millis(6000);  // a node waits 4.5 s for a silent engine
-constexpr double links_struck = 0.02;  // of what the proxy passes on
+constexpr double links_struck = 0.02;                    // of what the proxy passes on
 constexpr std::size_t most_violations_told = 12, most_stories_told = 3;
 
 // Lines by which a node reports a fault of its own.
@@ -79,8 +79,8 @@
         program_{options.daemon, options.fault_library, folder_.path(), settings_} {
     for (std::size_t k = 0; k < schedule_.engines; ++k) {
       const Role role = k < options.prefill_engines ? Role::Prefill : Role::Decode;
-      engines_.push_back(std::make_unique<EngineProcess>(k, role, options.engine_program, held_, journal_,
-                                                         attempts_));
+      engines_.push_back(
+          std::make_unique<EngineProcess>(k, role, options.engine_program, held_, journal_, attempts_));
     }
     if (settings_.proxied) start_proxy();
     for (std::size_t k = 0; k < engines_.size(); ++k) list(k, Lifecycle::Ready, 0);
@@ -94,8 +94,7 @@
     for (std::size_t n = 0; n < nodes_.size(); ++n)
       for (std::size_t c = 0; c < options_.clients_each; ++c)
         nodes_[n]->clients.push_back(std::make_unique<SoakClient>(
-            n * options_.clients_each + c, n, nodes_[n]->process, schedule_, settings_, began_,
-            journal_));
+            n * options_.clients_each + c, n, nodes_[n]->process, schedule_, settings_, began_, journal_));
     std::vector<bool> on(schedule_.windows.size());
     while (clock_now() - began_ < schedule_.length) {
       const Span now = clock_now() - began_;
@@ -117,9 +116,12 @@
     const EngineProcess& e = *engines_[engine];
     if (started_at_ms > 0)
       journal_.add(EngineStarted{engine, engine_list_.version() + 1, e.role(), clock_now()});
-    engine_list_.change(
-        engine,
-        {0, lifecycle, proxy_ ? proxy_->address(engine) : e.address(), e.role() == Role::Prefill ? "prefill" : "decode", started_at_ms, {}});
+    engine_list_.change(engine, {0,
+                                 lifecycle,
+                                 proxy_ ? proxy_->address(engine) : e.address(),
+                                 e.role() == Role::Prefill ? "prefill" : "decode",
+                                 started_at_ms,
+                                 {}});
   }
 
   void start_proxy() {
@@ -361,10 +363,9 @@
 }  // namespace
 
 Result run(std::uint64_t seed, const Options& options) {
-  return run(
-      make_schedule(seed, options.nodes, options.prefill_engines + options.decode_engines, options.length,
-                    options.only),
-      options);
+  return run(make_schedule(seed, options.nodes, options.prefill_engines + options.decode_engines,
+                           options.length, options.only),
+             options);
 }
 
 Result run(const Schedule& schedule, const Options& options) { return Run(schedule, options).play(); }
--- a/src/soak/soak.hpp
+++ b/src/soak/soak.hpp
@@ -16,9 +16,9 @@
   std::string engine_program;  // that runs an engine with --engine: calicograde-soak
   std::size_t nodes = 10, prefill_engines = 4, decode_engines = 4, clients_each = 3;
   Span length = Span::millis(14000);
-  std::vector<Trouble> only;               // none = all troubles
+  std::vector<Trouble> only;            // none = all troubles
   std::optional<RunSettings> settings;  // none = drawn from the seed
-  std::string keep_logs_in;  // of runs that failed; empty = they are dropped
+  std::string keep_logs_in;             // of runs that failed; empty = they are dropped
   bool keep_all_logs = false;
 };
 
--- a/tests/program/cases_test.cpp
+++ b/tests/program/cases_test.cpp
@@ -263,7 +263,8 @@
     c.obey(t, {SendTo{7, eng(2), {}}}, more);
     if (ends_before_the_stream) c.ended(t, 7, 1, done);
     c.started(t, 7, 2);
-    if (!ends_before_the_stream) c.ended(t, 7, 1, Ending{.as = EndedAs::Cancelled, .state = {}, .report = {}});
+    if (!ends_before_the_stream)
+      c.ended(t, 7, 1, Ending{.as = EndedAs::Cancelled, .state = {}, .report = {}});
     c.take_orders();
     c.ended(t, 7, 2, Ending{.as = EndedAs::Completed, .answered = true, .state = {}, .report = {}});
     c.tidy(7);
@@ -287,9 +288,8 @@
     if (answered) c.obey(t, {Shed{7, {}}, LetGo{7}}, more);
     else c.obey(t, {LetGo{7, true}}, more);
     const auto orders = c.take_orders();
-    const auto releases = std::count_if(orders.begin(), orders.end(), [](const Order& o) {
-      return std::holds_alternative<Release>(o);
-    });
+    const auto releases = std::count_if(orders.begin(), orders.end(),
+                                        [](const Order& o) { return std::holds_alternative<Release>(o); });
     EXPECT_EQ(releases, 1) << answered;
     // What the other one leaves is let go as well.
     c.ended(t, 7, 1, Ending{.as = EndedAs::ReadDone, .state = "kept", .report = {}});
--- a/tests/program/engine_signs_test.cpp
+++ b/tests/program/engine_signs_test.cpp
@@ -143,7 +143,8 @@
   for (int k = 0; k < 3; ++k)
     calls.keep(dial(stopped.address()), [&](bool with_bytes) { answered += with_bytes, ++over; });
   EXPECT_EQ(calls.count(), 2u);
-  for (int k = 0; k < 3; ++k) stopped.listener.accept(clock_now() + Span::millis(2000));  // and closed at once
+  for (int k = 0; k < 3; ++k)
+    stopped.listener.accept(clock_now() + Span::millis(2000));  // and closed at once
   EXPECT_TRUE(until([&] { return over == 2; }));
   EXPECT_EQ(answered, 0);
 }
--- a/tests/program/node_race_test.cpp
+++ b/tests/program/node_race_test.cpp
@@ -102,7 +102,8 @@
   }
 }
 
-// SIGKILL may come 3.7 s after SIGTERM, whatever the clients' own deadlines: what was taken is answered before.
+// SIGKILL may come 3.7 s after SIGTERM, whatever the clients' own deadlines: what was taken is answered
+// before.
 TEST(NodeRace, SigtermWhileAllEnginesOfARoleAnswerNothing) {
   for (const bool reader : {true, false}) {
     Rig rig;
@@ -121,7 +122,8 @@
   }
 }
 
-// A proxy before an engine, or the kernel of a machine whose process has stopped, takes all that is sent there.
+// A proxy before an engine, or the kernel of a machine whose process has stopped, takes all that is sent
+// there.
 TEST(NodeRace, AnEngineWhoseConnectionsSwallowBytesIsLeftForAnotherWithinThePinLimit) {
   Rig rig;
   // It grants places, so that it is chosen, and takes nothing else.
--- a/tests/program/soak_test.cpp
+++ b/tests/program/soak_test.cpp
@@ -101,8 +101,8 @@
   EXPECT_TRUE(killed.sent().answered(AnswerKind::NoAnswer).judged().empty());
 }
 
-// A kill that comes as early as the page allows after SIGTERM excuses no answer; a stream that was under way may
-// break off with it.
+// A kill that comes as early as the page allows after SIGTERM excuses no answer; a stream that was under way
+// may break off with it.
 TEST(SoakOracle, BlamesWhatTheKillAfterSigtermFinds) {
   const auto killed = [](int sigterm_ms) {
     Story s;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -222,8 +222,8 @@
   EXPECT_TRUE(w.sent(1, w.sends(1) - 1).reader);  // read anew
 }
 
-// Found by settings drawn by the soak: with a pin limit below the time-out of connections no decode engine was
-// ever asked, so that nothing was served.
+// Found by settings drawn by the soak: with a pin limit below the time-out of connections no decode engine
+// was ever asked, so that nothing was served.
 TEST(Router, APinLimitBelowTheTimeOutOfConnectionsStillLetsNewConnectionsBeMade) {
   for (const Span connect : {ms(150), ms(250), ms(400)}) {
     Settings s = settings_with_pin_limit();
@@ -278,7 +278,7 @@
     w.pass(within);
     w.call_off(1, n);
   });
-  EXPECT_GE(called_off, 2);  // another engine had its chance
+  EXPECT_GE(called_off, 2);                       // another engine had its chance
   EXPECT_TRUE(w.sent(1, w.sends(1) - 1).reader);  // read anew, once the state was let go
 }
 
@@ -328,8 +328,8 @@
   }
 }
 
-// Found by the soak: a copy of a read stayed out at a stopped engine, and the state that the other one had left
-// waited for its end.
+// Found by the soak: a copy of a read stayed out at a stopped engine, and the state that the other one had
+// left waited for its end.
 void read_with_a_silent_copy(World& w) {
   w.arrive(1, 1000, ms(20000));
   for (int k = 0; k < 400 && w.sends(1) < 2; ++k) w.pass(ms(10));
@@ -378,8 +378,8 @@
   EXPECT_FALSE(w.sent(20, 0).answer_due);  // larger than any of those
 }
 
-// A connection that falls silent alone takes bytes while its engine goes on answering others: by the first tokens
-// seen lately the answer is due, and the engine is not doubted for it.
+// A connection that falls silent alone takes bytes while its engine goes on answering others: by the first
+// tokens seen lately the answer is due, and the engine is not doubted for it.
 TEST(Router, AnAnswerIsDueOnceFirstTokensAreKnownToComeSooner) {
   Settings s = settings_with_pin_limit();
   s.may_probe = true;
