--- a/src/files/atomic_file.cpp
+++ b/src/files/atomic_file.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstring>
 
+#include "net/interrupted.hpp"
 #include "net/socket.hpp"
 
 namespace calicograde::files {
@@ -20,7 +21,7 @@
   const auto slash = path.rfind('/');
   const std::string folder = slash == std::string::npos ? "." : slash == 0 ? "/" : path.substr(0, slash);
   const net::Fd fd(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  if (!fd || ::fsync(fd.get()) != 0) return cause("sync", folder);
+  if (!fd || net::retry_interrupted([&] { return ::fsync(fd.get()); }) != 0) return cause("sync", folder);
   return {};
 }
 
@@ -37,7 +38,7 @@
       if (n <= 0) return cause("write", fresh);
       at += static_cast<std::size_t>(n);
     }
-    if (::fsync(fd.get()) != 0) return cause("sync", fresh);
+    if (net::retry_interrupted([&] { return ::fsync(fd.get()); }) != 0) return cause("sync", fresh);
   }
   if (::rename(fresh.c_str(), path.c_str()) != 0) return cause("rename", fresh);
   return sync_folder_of(path);
--- a/src/fleet/journal.cpp
+++ b/src/fleet/journal.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 
 #include "files/atomic_file.hpp"
+#include "net/interrupted.hpp"
 
 namespace calicograde::fleet {
 
@@ -60,7 +61,8 @@
     if (n <= 0) throw std::runtime_error("cannot write " + path_ + ": " + std::strerror(errno));
     at += static_cast<std::size_t>(n);
   }
-  if (::fsync(fd_.get()) != 0) throw std::runtime_error("cannot sync " + path_ + ": " + std::strerror(errno));
+  if (net::retry_interrupted([&] { return ::fsync(fd_.get()); }) != 0)
+    throw std::runtime_error("cannot sync " + path_ + ": " + std::strerror(errno));
 }
 
 void Journal::asked(const std::string& name) { line(Json{{"asked", name}}.dump()); }
--- a/src/front/abandoned_calls.cpp
+++ b/src/front/abandoned_calls.cpp
@@ -1,8 +1,8 @@
 #include "front/abandoned_calls.hpp"
 
-#include <poll.h>
 #include <sys/socket.h>
 
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -14,7 +14,7 @@
 using net::clock_now;
 
 constexpr Span kept_at_most = Span::millis(30000);
-constexpr int look_every_ms = 1000;
+constexpr Span look_every = Span::millis(1000);
 
 // Whether the other side has written anything.
 bool has_bytes(int descriptor) {
@@ -39,11 +39,22 @@
   const std::lock_guard lock(mutex_);
   if (most_ == 0 || !changed_.ok()) return;
   calls_.push_back({std::move(connection), std::move(over), clock_now()});
-  if (calls_.size() > most_) calls_.pop_front();
-  if (!thread_.joinable()) thread_ = std::thread([this] { run(); });
+  if (calls_.size() > most_ || !has_thread()) calls_.pop_front();
   changed_.raise();
 }
 
+// Starts it with the first call. Where this machine has no thread left for now, nobody could look after a
+// call.
+bool AbandonedCalls::has_thread() {
+  if (thread_.joinable()) return true;
+  try {
+    thread_ = std::thread([this] { run(); });
+    return true;
+  } catch (const std::system_error&) {
+    return false;
+  }
+}
+
 std::size_t AbandonedCalls::count() const {
   const std::lock_guard lock(mutex_);
   return calls_.size();
@@ -57,8 +68,7 @@
       if (stopping_) return;
       for (Call& call : calls_) waits.push_back({call.connection.stream().fd(), POLLIN, 0});
     }
-    ::poll(waits.data(), waits.size(), waits.size() > 1 ? look_every_ms : -1);
-    changed_.clear();
+    if (net::wait_ready(waits.data(), waits.size(), clock_now() + look_every) > 0) changed_.clear();
     // Looked at by the connections themselves: the list may have changed since.
     for (Call& call : take_those_over()) call.over(has_bytes(call.connection.stream().fd()));
   }
--- a/src/front/abandoned_calls.hpp
+++ b/src/front/abandoned_calls.hpp
@@ -29,6 +29,7 @@
     std::function<void(bool answered)> over;
     Instant since;
   };
+  bool has_thread();
   void run();
   std::list<Call> take_those_over();
   void close_old(Instant now);
--- a/src/front/release_race.cpp
+++ b/src/front/release_race.cpp
@@ -1,7 +1,5 @@
 #include "front/release_race.hpp"
 
-#include <poll.h>
-
 #include <algorithm>
 
 #include "net/clock.hpp"
@@ -55,9 +53,7 @@
 std::optional<std::size_t> ReleaseRace::wait_for_any(Instant deadline) {
   std::vector<pollfd> waits;
   for (Asked& asked : out_) waits.push_back({asked.connection.stream().fd(), POLLIN, 0});
-  const auto left = std::max<std::int64_t>(0, (deadline - clock_now()).as_micros());
-  const int millis = static_cast<int>((left + 999) / 1000);
-  if (::poll(waits.data(), waits.size(), millis) <= 0) return std::nullopt;  // interrupted: looked at anew
+  if (net::wait_ready(waits.data(), waits.size(), deadline) == 0) return std::nullopt;
   for (std::size_t k = 0; k < waits.size(); ++k)
     if (waits[k].revents != 0) return k;
   return std::nullopt;
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -64,8 +64,10 @@
 
 Server::~Server() {
   stop(net::clock_now());
-  // Their threads hold on to this server; each of their waits has an end.
+  // Their threads hold on to this server; each of their waits has an end. One that has closed the last
+  // connection may still be in the lobby.
   while (open_ > 0) usleep(1000);
+  threads_.wait_idle();
 }
 
 void Server::start() {
--- a/src/keep/disk.cpp
+++ b/src/keep/disk.cpp
@@ -12,6 +12,7 @@
 
 #include "files/atomic_file.hpp"
 #include "keep/state.hpp"
+#include "net/interrupted.hpp"
 
 namespace calicograde::keep {
 namespace {
@@ -20,13 +21,6 @@
   return std::string("cannot ") + what + " " + name + ": " + std::strerror(errno);
 }
 
-int again_if_interrupted(auto call) {
-  int done = 0;
-  do done = call();
-  while (done != 0 && errno == EINTR);
-  return done;
-}
-
 }  // namespace
 
 Folder::Folder(std::string path, bool reading) : path_(std::move(path)) {
@@ -62,7 +56,7 @@
 std::string Folder::sync(const std::string& name) {
   const auto it = open_.find(name);
   if (it == open_.end()) return "cannot sync " + name + ": it was not created";
-  return again_if_interrupted([&] { return ::fdatasync(it->second.get()); }) == 0
+  return net::retry_interrupted([&] { return ::fdatasync(it->second.get()); }) == 0
              ? std::string()
              : cause("sync", path_ + "/" + name);
 }
@@ -82,8 +76,8 @@
 }
 
 std::string Folder::sync_folder() {
-  return again_if_interrupted([&] { return ::fsync(folder_.get()); }) == 0 ? std::string()
-                                                                           : cause("sync", path_);
+  return net::retry_interrupted([&] { return ::fsync(folder_.get()); }) == 0 ? std::string()
+                                                                             : cause("sync", path_);
 }
 
 std::optional<std::vector<std::string>> Folder::list(std::string& wrong) {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -25,6 +25,7 @@
 #include <stdexcept>
 
 #include "net/clock.hpp"
+#include "net/interrupted.hpp"
 #include "net/local_error.hpp"
 #include "net/thread.hpp"
 
@@ -82,18 +83,6 @@
 
 boost::system::error_code last_error() { return {errno, boost::system::system_category()}; }
 
-// Waits until one of the descriptors is ready or the deadline is over: how many are. A wait that is
-// interrupted, or that fails for a lack of memory, goes on.
-int wait_ready(pollfd* descriptors, nfds_t count, Instant deadline) {
-  LocalRetry retry(deadline);
-  for (;;) {
-    const int ready = ::poll(descriptors, count, left_millis(deadline));
-    if (ready > 0) return ready;
-    if (ready < 0 && errno != EINTR) retry.pause();
-    if (clock_now() >= deadline) return 0;
-  }
-}
-
 // The same without a wait: whether one descriptor is ready, none where the kernel could not be asked.
 std::optional<bool> look(int fd, short events) {
   pollfd p{fd, events, 0};
@@ -208,6 +197,16 @@
   return Address{text, a.port};
 }
 
+int wait_ready(pollfd* descriptors, std::size_t count, Instant deadline) {
+  LocalRetry retry(deadline);
+  for (;;) {
+    const int ready = ::poll(descriptors, count, left_millis(deadline));
+    if (ready > 0) return ready;
+    if (ready < 0 && errno != EINTR) retry.pause();
+    if (clock_now() >= deadline) return 0;
+  }
+}
+
 Stream::Stream(Fd fd) : fd_(std::move(fd)) {
   const int one = 1;
   setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
@@ -368,8 +367,7 @@
   socklen_t size = sizeof got;
   getsockname(fd_.get(), &got.any, &size);
   if (path_.empty()) port_ = ntohs(got.any.sa_family == AF_INET ? got.v4.sin_port : got.v6.sin6_port);
-  wake_ = Fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
-  if (!wake_) fail_by(errno);
+  if (!wake_.ok()) throw LocalError("cannot listen on " + text_of(at) + ": no descriptor is left");
 }
 
 Listener::~Listener() {
@@ -379,7 +377,7 @@
 std::optional<Stream> Listener::accept(Instant deadline, std::string_view refusal) {
   LocalRetry retry(deadline);
   for (;;) {
-    pollfd p[2] = {{fd_.get(), POLLIN, 0}, {wake_.get(), POLLIN, 0}};
+    pollfd p[2] = {{fd_.get(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}};
     if (wait_ready(p, 2, deadline) == 0) return std::nullopt;
     const bool stopped = p[1].revents != 0;
     const int got = ::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC);
@@ -412,19 +410,20 @@
   spare_.refill();
 }
 
-void Listener::stop() {
-  const std::uint64_t one = 1;
-  static_cast<void>(!::write(wake_.get(), &one, sizeof one));
-}
+void Listener::stop() { wake_.raise(); }
 
 Wake::Wake() : fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+
+// Whoever waits may wait without a deadline: a write that was interrupted must not be lost. It fails
+// otherwise only where the flag is raised already (EAGAIN).
 void Wake::raise() const {
   const std::uint64_t one = 1;
-  static_cast<void>(!::write(fd_.get(), &one, sizeof one));
+  retry_interrupted([&] { return ::write(fd_.get(), &one, sizeof one); });
 }
+
 void Wake::clear() const {
-  std::uint64_t n = 0;
-  static_cast<void>(!::read(fd_.get(), &n, sizeof n));
+  std::uint64_t count = 0;
+  retry_interrupted([&] { return ::read(fd_.get(), &count, sizeof count); });
 }
 
 Waited wait_for(const Wake& wake, int peer, Instant deadline) {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <poll.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/system/error_code.hpp>
 #include <boost/system/system_error.hpp>
@@ -144,6 +146,19 @@
   Fd fd_;
 };
 
+// A flag that one thread raises and another polls for (eventfd).
+class Wake {
+ public:
+  Wake();
+  bool ok() const { return static_cast<bool>(fd_); }
+  void raise() const;
+  void clear() const;
+  int fd() const { return fd_.get(); }
+
+ private:
+  Fd fd_;
+};
+
 // A listening socket on an address; port 0 lets the kernel choose. Throws std::runtime_error with the address
 // and the cause; a LocalError where trying again may help.
 class Listener {
@@ -162,30 +177,22 @@
 
  private:
   void refuse_on_spare(std::string_view refusal);
-  Fd fd_, wake_;
+  Fd fd_;
+  Wake wake_;
   SpareDescriptor spare_;
   int short_of_descriptors_ = 0;  // tries in a row
   unsigned short port_ = 0;
   std::string path_;  // of a unix socket, removed with it
 };
 
-// A flag that one thread raises and another polls for (eventfd).
-class Wake {
- public:
-  Wake();
-  bool ok() const { return static_cast<bool>(fd_); }
-  void raise() const;
-  void clear() const;
-  int fd() const { return fd_.get(); }
-
- private:
-  Fd fd_;
-};
-
 // Whether the peer behind a connected descriptor has closed its end; false where the kernel can't tell for
 // now.
 bool hung_up(int fd);
 
+// Waits until one of the descriptors is ready, or the deadline is over: how many are. A wait that is
+// interrupted, or that fails for a lack of memory, goes on.
+int wait_ready(pollfd* descriptors, std::size_t count, Instant deadline);
+
 enum class Waited { Woken, PeerLeft, TimedOut };
 // Until the flag is raised, the peer hangs up, or the deadline.
 Waited wait_for(const Wake& wake, int peer, Instant deadline);
