Failing test: workers count as idle while a job waits for a thread that wakes

Found by reading, beside ~Server: wait_idle compares idle threads with threads (workers.cpp:73) and does not look at the jobs that wait. ~Core waits so for sends, places and releases, which hold on to it.

--- a/tests/program/net_race_test.cpp
+++ b/tests/program/net_race_test.cpp
@@ -244,6 +244,23 @@
   EXPECT_TRUE(until([&] { return done == 1; }));
 }
 
+// Found by reading: a job that waited for an idle thread to wake was not counted, and could run after the end
+// of whoever had waited for it.
+TEST(Workers, AreNotIdleWhileAJobWaitsForAThread) {
+  Workers workers(4, 256 << 10);
+  for (int k = 0; k < 200; ++k) {
+    std::atomic<bool> ran = false;
+    ASSERT_TRUE(workers.submit([&] {
+      usleep(200);
+      ran = true;
+    }));
+    workers.wait_idle();
+    const bool waited = ran;
+    ASSERT_TRUE(until([&] { return ran.load(); }));
+    ASSERT_TRUE(waited) << k;
+  }
+}
+
 // The owner of a queue that reports to itself would wait for itself for good.
 TEST(BoundedQueue, WhoTakesFromItNeverWaitsForRoom) {
   BoundedQueue<int> queue(2);
