Jobs that wait for a thread are counted: at the end of a core, and of a node after SIGTERM

Cause: idle threads were compared with threads, and jobs that waited were not looked at. ~Core could go before a job that held on to it (workers.cpp:73), and Core::in_work, by which a node decides after SIGTERM that nothing is left to be let go (core.cpp:1820, node.cpp stop()), did not count releases that waited for a thread: there are few of those threads where engines are silent, so that such releases are the usual case of the incident. Workers::unfinished counts both.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -1790,7 +1790,7 @@
     }
     for (const auto& v : view_inferences(p.router, now, 0, SIZE_MAX)) out.streams += v.phase == "streaming";
     out.places = p.cases.holdings(), out.idle_links = p.links.idle();
-    out.sending = inside_->workers.count() - inside_->workers.idle(), out.following = inside_->following;
+    out.sending = inside_->workers.unfinished(), out.following = inside_->following;
     out.probes = inside_->probes;
     out.long_holds = inside_->long_holds;
     out.abandoned = inside_->abandoned.count();
@@ -1817,7 +1817,7 @@
       }
   }
   // A release that is on its way still holds what it lets go.
-  for (const Workers* w : {&inside_->errands, &inside_->releases}) out.holdings += w->count() - w->idle();
+  for (const Workers* w : {&inside_->errands, &inside_->releases}) out.holdings += w->unfinished();
   return out;
 }
 
@@ -1876,7 +1876,7 @@
 
 Counts Core::counts() const {
   const std::lock_guard lock(inside_->tickets_mutex);
-  return {inside_->tickets.size(), inside_->queue.size(), inside_->workers.count() - inside_->workers.idle()};
+  return {inside_->tickets.size(), inside_->queue.size(), inside_->workers.unfinished()};
 }
 
 }  // namespace calicograde::front
--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -69,8 +69,13 @@
   --shared->threads;
 }
 
+std::size_t Workers::unfinished() const {
+  const std::lock_guard lock(shared_->mutex);
+  return shared_->threads - shared_->idle + shared_->jobs.size();
+}
+
 void Workers::wait_idle() const {
-  while (idle() < count()) usleep(1000);
+  while (unfinished() > 0) usleep(1000);
 }
 
 }  // namespace calicograde::front
--- a/src/front/workers.hpp
+++ b/src/front/workers.hpp
@@ -23,6 +23,8 @@
   bool submit(std::function<void()> job);
   std::size_t count() const;
   std::size_t idle() const;
+  // Jobs that run or wait for a thread.
+  std::size_t unfinished() const;
   // Until no job runs: jobs end by their own deadlines.
   void wait_idle() const;
 
--- a/tests/program/net_race_test.cpp
+++ b/tests/program/net_race_test.cpp
@@ -261,6 +261,21 @@
   }
 }
 
+// Found by reading: at SIGTERM a release that waited for a thread was not counted, and the process could end
+// before it was sent.
+TEST(Workers, CountJobsThatWaitForAThread) {
+  Workers workers(1, 256 << 10, 8);
+  std::atomic<bool> go_on = false;
+  for (int k = 0; k < 3; ++k)
+    ASSERT_TRUE(workers.submit([&] {
+      while (!go_on) usleep(500);
+    }));
+  EXPECT_EQ(workers.unfinished(), 3u);
+  go_on = true;
+  workers.wait_idle();
+  EXPECT_EQ(workers.unfinished(), 0u);
+}
+
 // The owner of a queue that reports to itself would wait for itself for good.
 TEST(BoundedQueue, WhoTakesFromItNeverWaitsForRoom) {
   BoundedQueue<int> queue(2);
