--- a/src/front/workers.cpp
+++ b/src/front/workers.cpp
@@ -56,6 +56,7 @@
     }
     auto job = std::move(shared->jobs.front());
     shared->jobs.pop_front();
+    ++shared->running;
     lock.unlock();
     // A job answers for its own failures; one that does not must not end the whole process.
     try {
@@ -65,13 +66,14 @@
     }
     job = {};
     lock.lock();
+    --shared->running;
   }
   --shared->threads;
 }
 
 std::size_t Workers::unfinished() const {
   const std::lock_guard lock(shared_->mutex);
-  return shared_->threads - shared_->idle + shared_->jobs.size();
+  return shared_->running + shared_->jobs.size();
 }
 
 void Workers::wait_idle() const {
--- a/src/front/workers.hpp
+++ b/src/front/workers.hpp
@@ -33,7 +33,7 @@
     std::mutex mutex;
     std::condition_variable work;
     std::deque<std::function<void()>> jobs;
-    std::size_t idle = 0, threads = 0;
+    std::size_t idle = 0, threads = 0, running = 0;  // jobs that run
     bool stopping = false;
     Span spare;
   };
