--- a/src/faults/fault_library.cpp
+++ b/src/faults/fault_library.cpp
@@ -11,13 +11,19 @@
 // rule always holds. CHANCE is the share of the calls concerned. The names stand in `names` below; wall_ms is
 // the offset of CLOCK_REALTIME in milliseconds, with @START the moment of a step.
 //
+// CALICOGRADE_CONNECTIONS may name a file, to which a line is appended for each accepted connection as soon
+// as this process ends its sending on it, or the connection: the moment in microseconds of the monotonic
+// clock, the port of the other side, and the bytes that were read from it by then.
+//
 // A test that is linked with the library has single calls fail by src/faults/fault_library.hpp.
 #include "faults/fault_library.hpp"
 
 #include <dirent.h>
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <linux/sockios.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <stdarg.h>
 #include <sys/epoll.h>
@@ -31,6 +37,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <iterator>
@@ -74,8 +81,11 @@
 std::atomic<bool> ready{false};
 std::atomic<std::uint64_t> draws{0};
 std::atomic<std::uint64_t> connects_at[most_descriptors];  // 0 = not held back
-std::atomic<int> swallowed[most_descriptors];  // bytes that a silent connection took; 0 = not silent
-std::atomic<bool> outgoing[most_descriptors];  // this process made the connection
+std::atomic<int> swallowed[most_descriptors];       // bytes that a silent connection took; 0 = not silent
+std::atomic<bool> outgoing[most_descriptors];       // this process made the connection
+std::atomic<unsigned> peer_port[most_descriptors];  // of an accepted connection; 0 = it is none, or has ended
+std::atomic<std::uint64_t> bytes_read[most_descriptors];  // from it
+int connections_file = -1;
 
 template <class Function>
 Function real(const char* name) {
@@ -204,9 +214,34 @@
     for (char* word = strtok_r(copy, " ", &state); word; word = strtok_r(nullptr, " ", &state))
       read_rule(word);
   }
+  if (const char* file = std::getenv("CALICOGRADE_CONNECTIONS"))
+    connections_file = ::open(file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   ready = true;
 }
 
+bool is_counted(int fd) { return fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors; }
+
+void begin_connection(int fd) {
+  if (connections_file < 0 || !is_counted(fd)) return;
+  sockaddr_in peer{};
+  socklen_t size = sizeof peer;
+  const bool known =
+      ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0 && peer.sin_family == AF_INET;
+  bytes_read[fd] = 0, peer_port[fd] = known ? ntohs(peer.sin_port) : 0;
+}
+
+void end_connection(int fd) {
+  if (!is_counted(fd)) return;
+  const unsigned port = peer_port[fd].exchange(0);
+  if (port == 0) return;
+  char line[64];
+  const int size =
+      std::snprintf(line, sizeof line, "%llu %u %llu\n", static_cast<unsigned long long>(monotonic_micros()),
+                    port, static_cast<unsigned long long>(bytes_read[fd]));
+  REAL(write);
+  static_cast<void>(!real_write(connections_file, line, static_cast<std::size_t>(size)));
+}
+
 bool is_silent(int fd) {
   return fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors && swallowed[fd] > 0;
 }
@@ -301,6 +336,7 @@
   const int got = real_accept4(fd, address, size, flags);
   if (got >= 0 && static_cast<std::size_t>(got) < most_descriptors)
     connects_at[got] = 0, outgoing[got] = false, swallowed[got] = 0;
+  if (got >= 0) begin_connection(got);
   return got;
 }
 
@@ -340,7 +376,10 @@
   if (strikes(Kind::Memory)) return fail_with(ENOMEM);
   if (is_silent(fd)) return fail_with(EAGAIN);
   if (is_outgoing(fd) && strikes(Kind::Broken)) return break_link(fd);
-  return real_recv(fd, to, (flags & MSG_PEEK) ? size : shortened(size), flags);
+  const ssize_t got = real_recv(fd, to, (flags & MSG_PEEK) ? size : shortened(size), flags);
+  if (got > 0 && !(flags & MSG_PEEK) && is_counted(fd) && peer_port[fd] != 0)
+    bytes_read[fd] += static_cast<std::uint64_t>(got);
+  return got;
 }
 
 ssize_t send(int fd, const void* from, size_t size, int flags) {
@@ -419,9 +458,16 @@
   REAL(close);
   static const std::size_t number = number_of("close");
   hold_up_if_ordered(number);
+  end_connection(fd);
   return real_close(fd);
 }
 
+int shutdown(int fd, int how) {
+  REAL(shutdown);
+  if (how != SHUT_RD) end_connection(fd);
+  return real_shutdown(fd, how);
+}
+
 int gettimeofday(timeval* __restrict out, void* __restrict) {
   timespec t{};
   clock_gettime(CLOCK_REALTIME, &t);
--- a/src/soak/client.cpp
+++ b/src/soak/client.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "net/clock.hpp"
+#include "soak/half_requests.hpp"
 
 namespace calicograde::soak {
 namespace {
@@ -12,13 +13,16 @@
 constexpr Span connect_within = Span::millis(1500);
 constexpr Span waits_longer = Span::millis(3000);  // than its own deadline, to tell late from lost
 constexpr Span stream_within = Span::millis(12000);
-constexpr Span stopped_for = Span::millis(3600);
 constexpr int requests_in_storm = 5;
+constexpr std::string_view event_end = "\n\n";
+
 }  // namespace
 
 struct SoakClient::Link {
   http::ClientConnection connection;
   int generation = 0;
+  Instant connected;
+  unsigned short port = 0;
 };
 
 SoakClient::SoakClient(std::size_t number, std::size_t node, NodeProcess& process, const Schedule& schedule,
@@ -65,7 +69,9 @@
   if (!address) return false;
   auto [how, stream] = net::Stream::connect(*address, clock_now() + connect_within);
   if (how != net::ConnectEnd::Connected) return false;
-  link_ = std::make_unique<Link>(Link{http::ClientConnection(std::move(stream)), generation});
+  const unsigned short port = stream.local_port();
+  link_ =
+      std::make_unique<Link>(Link{http::ClientConnection(std::move(stream)), generation, clock_now(), port});
   return true;
 }
 
@@ -103,7 +109,10 @@
 }
 
 RequestEnded SoakClient::read_answer(const RequestSent& sent, bool fresh) {
-  RequestEnded ended{sent.id, {}, AnswerKind::NoAnswer, {}};
+  RequestEnded ended;
+  ended.id = sent.id;
+  ended.connected = link_->connected, ended.port = link_->port;
+  ended.bytes_written = link_->connection.stream().bytes_written();
   const auto as = [&](AnswerKind kind) {
     ended.kind = kind, ended.at = clock_now();
     return ended;
@@ -121,6 +130,7 @@
   const Instant until = clock_now() + stream_within;
   for (;;) {
     const http::BodyEnd end = connection.read_body(ended.body, until);
+    note_events(ended);
     if (end == http::BodyEnd::Done) break;
     if (end == http::BodyEnd::TimedOut) return as(AnswerKind::Silence);
     if (end != http::BodyEnd::More)
@@ -131,18 +141,30 @@
   return as(head.status == 429 || head.status == 503 ? AnswerKind::Refused : AnswerKind::Failed);
 }
 
+// The whole events that have come by now.
+void SoakClient::note_events(RequestEnded& ended) {
+  const Instant now = clock_now();
+  std::size_t whole = 0;
+  for (std::size_t at = ended.body.find(event_end); at != std::string::npos;
+       at = ended.body.find(event_end, at + event_end.size()))
+    ++whole;
+  while (ended.events_read.size() < whole) ended.events_read.push_back(now);
+}
+
 void SoakClient::stop_in_mid_request() {
   link_.reset();
   if (!connect()) return;
-  boost::system::error_code ignored;
   auto& stream = link_->connection.stream();
+  boost::system::error_code failed;
   stream.set_deadline(clock_now() + connect_within);
-  const std::string part = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nRequest-Id: " + next_id() +
-                           "\r\nRequest-Class: first\r\nContent-Length: 100\r\n\r\nhalf";
-  stream.write_some(boost::asio::buffer(part), ignored);
-  for (const Instant until = clock_now() + stopped_for;
-       clock_now() < until && !stopping_ && !stream.peer_left();)
-    usleep(20000);
+  stream.write_some(boost::asio::buffer(half_request(random_(), next_id())), failed);
+  const Instant at = clock_now();
+  if (!failed) {
+    while (!stopping_ && !stream.stale() && clock_now() - at < half_request_stays) usleep(20000);
+    const bool ended = stream.stale();
+    if (ended || !stopping_)
+      journal_.add(HalfRequest{node_, at, ended ? std::optional(clock_now()) : std::nullopt});
+  }
   link_.reset();
 }
 
--- a/src/soak/client.hpp
+++ b/src/soak/client.hpp
@@ -28,6 +28,7 @@
   void ask();
   void stop_in_mid_request();
   RequestEnded read_answer(const RequestSent& sent, bool fresh);
+  static void note_events(RequestEnded& ended);
   void leave(const RequestSent& sent);
   bool in(Trouble trouble) const;
   bool chance(double share);
--- a/src/soak/engine_channel.hpp
+++ b/src/soak/engine_channel.hpp
@@ -16,6 +16,8 @@
 // Descriptors that an engine process inherits.
 constexpr int calls_descriptor = 3, commands_descriptor = 4;
 
+constexpr int events_each = 6;  // of a stream, beside its end
+
 struct EngineCall {
   enum class Kind : std::uint8_t {
     Listening,     // at `number`, a port
@@ -31,14 +33,23 @@
   bool has_stream = false;  // of an attempt that has ended: it was to write a stream
   bool broken = false;      // the engine itself broke it off
   std::uint64_t number = 0;
-  std::int64_t at_micros = 0;  // of the monotonic clock
-  std::array<char, 64> id{};   // of the request, ended by a zero
+  std::int64_t at_micros = 0;          // of the monotonic clock
+  std::int64_t told_wait_millis = -1;  // of an attempt that begins: how long the node says that it will wait
+  std::int64_t events = 0;             // of an attempt that has ended: events written
+  std::array<std::int64_t, events_each> event_micros{};  // when, of the monotonic clock
+  std::array<char, 64> id{};                             // of the request, ended by a zero
 
   void set_id(const std::string& text);
 };
 
 struct EngineCommand {
-  enum class Fault : std::uint8_t { Hang, CutAnswers, DoubleAnswers, Busy };
+  enum class Fault : std::uint8_t {
+    Hang,
+    CutAnswers,
+    DoubleAnswers,
+    Busy,
+    LateNotice  // it does not notice that a read was given up before the read is over
+  };
   Fault fault = Fault::Hang;
   bool on = false;
 };
@@ -58,7 +69,6 @@
 // The bytes of the events of an attempt's stream; they tell attempts apart.
 std::string stream_of(std::uint64_t attempt);
 std::string event_of(std::uint64_t attempt, int number);
-constexpr int events_each = 6;
 constexpr const char* stream_end = "data: [DONE]\n\n";
 
 }  // namespace calicograde::soak
--- a/src/soak/engine_process.cpp
+++ b/src/soak/engine_process.cpp
@@ -19,6 +19,13 @@
 
 constexpr Span starts_within = Span::millis(10000);
 
+std::vector<Instant> events_of(const EngineCall& call) {
+  std::vector<Instant> out;
+  for (std::int64_t k = 0; k < call.events; ++k)
+    out.push_back(Instant::at(Span::micros(call.event_micros[static_cast<std::size_t>(k)])));
+  return out;
+}
+
 }  // namespace
 
 EngineProcess::EngineProcess(std::size_t number, Role role, const std::string& program, HeldState& held,
@@ -100,7 +107,9 @@
     case Kind::AttemptBegan: {
       const std::uint64_t number = ++attempts_;
       open_[number] = {id, role_ == Role::Prefill, false};
-      journal_.add(AttemptBegan{id, number_, number, role_, at});
+      const bool told = call.told_wait_millis >= 0;
+      journal_.add(AttemptBegan{id, number_, number, role_, at,
+                                told ? std::optional(Span::millis(call.told_wait_millis)) : std::nullopt});
       if (role_ == Role::Prefill) held_.read_begins(id);
       return number;
     }
@@ -109,7 +118,8 @@
       end_read(call.number);
       open_.erase(call.number);
       journal_.add(AttemptEnded{id, call.number, at, fetched,
-                                call.has_stream ? stream_of(call.number) : std::string(), call.broken});
+                                call.has_stream ? stream_of(call.number) : std::string(), call.broken,
+                                events_of(call)});
       return 0;
     }
     case Kind::ReadEnded: end_read(call.number); return 0;
--- a/src/soak/engines.cpp
+++ b/src/soak/engines.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdlib>
 
 #include "net/clock.hpp"
 #include "soak/child_process.hpp"
@@ -19,17 +20,32 @@
                event_time = Span::millis(6), first_token_when_busy = Span::millis(450);
 constexpr std::uint64_t one_in_cut = 3;
 
+std::int64_t micros_now() { return (clock_now() - Instant{}).as_micros(); }
+
 }  // namespace
 
 struct SoakEngine::Attempt {
-  Attempt(SoakEngine& of, std::string request_id)
-      : engine(of), id(std::move(request_id)), number(of.channel_.call(Kind::AttemptBegan, id)) {}
+  Attempt(SoakEngine& of, const http::Request& request)
+      : engine(of), id(http::header(request.headers, "request-id")), number(begin(of, id, request)) {}
+  static std::uint64_t begin(SoakEngine& engine, const std::string& id, const http::Request& request) {
+    EngineCall begins;
+    begins.kind = Kind::AttemptBegan;
+    begins.set_id(id);
+    const std::string told(http::header(request.headers, "request-timeout-ms"));
+    if (!told.empty()) begins.told_wait_millis = std::atoll(told.c_str());
+    return engine.channel_.call(begins);
+  }
+  void event_written() {
+    if (events < events_each) event_micros[static_cast<std::size_t>(events++)] = micros_now();
+  }
   ~Attempt() {
     EngineCall end;
     end.kind = Kind::AttemptEnded;
     end.number = number;
     end.has_stream = has_stream;
     end.broken = broken;
+    end.events = events;
+    end.event_micros = event_micros;
     end.set_id(id);
     engine.channel_.call(end);
   }
@@ -37,6 +53,8 @@
   const std::string id;
   const std::uint64_t number;
   bool has_stream = false, broken = false;
+  int events = 0;  // written
+  std::array<std::int64_t, events_each> event_micros{};
 };
 
 SoakEngine::SoakEngine(Role role, unsigned short port, EngineChannel& channel)
@@ -50,15 +68,16 @@
     case EngineCommand::Fault::CutAnswers: cutting_ = command.on; break;
     case EngineCommand::Fault::DoubleAnswers: doubling_ = command.on; break;
     case EngineCommand::Fault::Busy: busy_ = command.on; break;
+    case EngineCommand::Fault::LateNotice: late_notice_ = command.on; break;
   }
 }
 
-bool SoakEngine::work(http::ServerConnection& connection, Span time) const {
+bool SoakEngine::work(http::ServerConnection& connection, Span time, bool notices_leaving) const {
   for (const Instant until = clock_now() + time; clock_now() < until || hanging_;) {
-    if (stopping_ || connection.stream().peer_left()) return false;
+    if (stopping_ || (notices_leaving && connection.stream().peer_left())) return false;
     usleep(static_cast<useconds_t>(step.as_micros()));
   }
-  return !connection.stream().peer_left();
+  return !notices_leaving || !connection.stream().peer_left();
 }
 
 void SoakEngine::serve(net::Stream stream) {
@@ -90,13 +109,14 @@
 
 bool SoakEngine::serve_attempt(const http::Request& request, http::ServerConnection& connection) {
   // Given up before it reached an engine that runs.
-  if (connection.stream().peer_left()) return false;
-  Attempt attempt(*this, std::string(http::header(request.headers, "request-id")));
+  const bool notices_leaving = !late_notice_ || role_ == Role::Decode;
+  if (notices_leaving && connection.stream().peer_left()) return false;
+  Attempt attempt(*this, request);
   return role_ == Role::Prefill ? read_prompt(attempt, connection) : write_answer(attempt, connection);
 }
 
 bool SoakEngine::read_prompt(Attempt& attempt, http::ServerConnection& connection) {
-  if (!work(connection, read_time)) return false;
+  if (!work(connection, read_time, !late_notice_)) return false;
   channel_.call(Kind::Hold, attempt.id);
   if (cutting_ && attempt.number % one_in_cut == 0) return connection.stream().reset_hard(), false;
   // Once the answer is out no place is granted for this read any more.
@@ -120,6 +140,7 @@
     if (!work(connection, event_time)) return false;
     if (cut && k == events_each / 2) return attempt.broken = true, connection.stream().reset_hard(), false;
     if (!connection.piece(event_of(attempt.number, k))) return false;
+    attempt.event_written();
   }
   if (!connection.piece(stream_end) || !connection.end_stream()) return false;
   if (doubling_) connection.respond(200, {}, "hi", true);
--- a/src/soak/engines.hpp
+++ b/src/soak/engines.hpp
@@ -26,11 +26,12 @@
   bool read_prompt(Attempt& attempt, http::ServerConnection& connection);
   bool write_answer(Attempt& attempt, http::ServerConnection& connection);
   // Until the time has passed and the engine does not hang; false where the other side has left meanwhile.
-  bool work(http::ServerConnection& connection, Span time) const;
+  bool work(http::ServerConnection& connection, Span time, bool notices_leaving = true) const;
 
   const Role role_;
   EngineChannel& channel_;
-  std::atomic<bool> hanging_ = false, cutting_ = false, doubling_ = false, busy_ = false, stopping_ = false;
+  std::atomic<bool> hanging_ = false, cutting_ = false, doubling_ = false, busy_ = false,
+                    late_notice_ = false, stopping_ = false;
   lab::LoopbackServer server_;
 };
 
--- a/src/soak/journal.hpp
+++ b/src/soak/journal.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,6 +40,12 @@
   Instant at;
   AnswerKind kind = AnswerKind::NoAnswer;
   std::string body;
+  std::vector<Instant> events_read = {};  // when each event of its stream had come whole
+  // Of its connection: since when it was open, the client's port, and all that was written on it up to the
+  // request's last byte.
+  Instant connected = {};
+  unsigned short port = 0;
+  std::size_t bytes_written = 0;
 };
 // An attempt's last byte has reached an engine that runs.
 struct AttemptBegan {
@@ -47,6 +54,7 @@
   std::uint64_t attempt = 0;  // counted over the run, from 1
   Role role = Role::Prefill;
   Instant at;
+  std::optional<Span> told_wait = {};  // for how long the node says that it will wait
 };
 struct AttemptEnded {
   std::string id;
@@ -55,6 +63,7 @@
   bool ran = false;     // with its effect
   std::string stream;   // the bytes of the events that it was to consist of; empty = none
   bool broken = false;  // the engine itself broke it off
+  std::vector<Instant> events_written = {};
 };
 // A state or a place is held for a request, or no longer.
 struct HoldBegan {
@@ -103,6 +112,19 @@
   std::size_t node = 0;
   Instant at;
 };
+// A node has ended its sending on a client's connection, or the connection: what it had read of it by then.
+struct ConnectionEnded {
+  std::size_t node = 0;
+  unsigned short port = 0;  // the client's
+  std::size_t bytes_read = 0;
+  Instant at;
+};
+// A client has stopped in the middle of a request and stays.
+struct HalfRequest {
+  std::size_t node = 0;
+  Instant at;
+  std::optional<Instant> ended = {};  // it was given an answer, or its connection was closed
+};
 enum class NodeEnd { Killed, AfterSigterm, KilledAfterSigterm, Crashed };
 struct NodeEnded {
   std::size_t node = 0;
@@ -112,7 +134,7 @@
 };
 using Entry = std::variant<RequestSent, RequestEnded, AttemptBegan, AttemptEnded, HoldBegan, HoldEnded,
                            LifecycleTold, EngineStopped, EngineStarted, EngineWentOn, NodeStarted, NodeReady,
-                           NodeTerminated, NodeEnded>;
+                           NodeTerminated, NodeEnded, ConnectionEnded, HalfRequest>;
 
 // What was seen of one request, a line each; times are counted from `zero`.
 std::string story_of(const std::vector<Entry>& entries, const std::string& id, Instant zero);
--- a/src/soak/node_process.cpp
+++ b/src/soak/node_process.cpp
@@ -46,6 +46,8 @@
       .string();
 }
 
+std::string NodeProcess::connections_of(int generation) const { return log_of(generation) + ".connections"; }
+
 void NodeProcess::configure(const std::string& discovery, const std::string& known) {
   const auto file = program_.folder / ("node" + std::to_string(number_) + ".json");
   const auto fresh = file.string() + ".new";
@@ -62,6 +64,7 @@
   if (!program_.fault_library.empty()) {
     own.push_back("LD_PRELOAD=" + program_.fault_library);
     own.push_back("CALICOGRADE_FAULTS=" + faults);
+    own.push_back("CALICOGRADE_CONNECTIONS=" + connections_of(generation_));
     own.push_back("ASAN_OPTIONS=verify_asan_link_order=0:detect_leaks=0");
   }
   std::vector<char*> env;
@@ -104,6 +107,11 @@
   ::kill(pid_, SIGKILL);
 }
 
+void NodeProcess::stop(bool on) {
+  const std::lock_guard lock(mutex_);
+  if (pid_ > 0) ::kill(pid_, on ? SIGSTOP : SIGCONT);
+}
+
 void NodeProcess::note_end(int status) {
   pid_ = 0, address_.reset();
   const bool clean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
@@ -151,6 +159,22 @@
   return generation_;
 }
 
+std::vector<ConnectionEnded> NodeProcess::connections_ended() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<ConnectionEnded> out;
+  for (int k = 1; k <= generation_; ++k) {
+    std::ifstream lines(connections_of(k));
+    std::int64_t micros = 0;
+    ConnectionEnded ended;
+    ended.node = number_;
+    while (lines >> micros >> ended.port >> ended.bytes_read) {
+      ended.at = Instant::at(Span::micros(micros));
+      out.push_back(ended);
+    }
+  }
+  return out;
+}
+
 std::string NodeProcess::log_text() const {
   const std::lock_guard lock(mutex_);
   std::stringstream text;
--- a/src/soak/node_process.hpp
+++ b/src/soak/node_process.hpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "net/socket.hpp"
 #include "soak/journal.hpp"
@@ -30,10 +31,11 @@
   // Writes its configuration; where it runs, it takes effect with SIGHUP.
   void configure(const std::string& discovery, const std::string& known);
   void start(const std::string& faults);
-  void hang_up();    // SIGHUP
-  void terminate();  // SIGTERM, also once more; poll() kills it at the protocol's earliest after the first
-  void kill();       // SIGKILL
-  void poll();       // looks whether it has become ready or has ended
+  void hang_up();      // SIGHUP
+  void terminate();    // SIGTERM, also once more; poll() kills it at the protocol's earliest after the first
+  void kill();         // SIGKILL
+  void stop(bool on);  // SIGSTOP, or SIGCONT
+  void poll();         // looks whether it has become ready or has ended
   bool running() const;
   bool ended() const { return !running(); }
 
@@ -42,9 +44,12 @@
   // Counts starts: a connection to an earlier process is of no use any more.
   int generation() const;
   std::string log_text() const;  // of all its processes
+  // What the fault library has seen of clients' connections; nothing where none is loaded.
+  std::vector<ConnectionEnded> connections_ended() const;
 
  private:
   std::string log_of(int generation) const;
+  std::string connections_of(int generation) const;
   void note_end(int status);
 
   const std::size_t number_;
--- a/src/soak/run_settings.cpp
+++ b/src/soak/run_settings.cpp
@@ -61,14 +61,14 @@
 }
 
 std::string RunSettings::text() const {
-  char out[320];
+  char out[400];
   std::snprintf(out, sizeof out,
                 "give up %.0f ms, pin %.0f, grace %.0f, window %.0f, classes %s %s %s, places %s, probes %s, "
-                "cancelling %s, copies %s, attempts %d, proxied %s",
+                "cancelling %s, copies %s, attempts %d, proxied %s, late notice %s",
                 give_up.as_millis(), pin_limit.as_millis(), drain_grace.as_millis(),
                 dedupe_window.as_millis(), name_of(effects[0]), name_of(effects[1]), name_of(effects[2]),
                 name_of(holds_places), name_of(probes), name_of(cancelling), name_of(second_copies),
-                max_attempts, name_of(proxied));
+                max_attempts, name_of(proxied), name_of(late_notice));
   return out;
 }
 
@@ -91,6 +91,7 @@
   s.second_copies = likely(6);
   s.max_attempts = one_of({2, 3, 6, 6});
   s.proxied = likely(5);
+  s.late_notice = likely(4);
   return s;
 }
 
--- a/src/soak/run_settings.hpp
+++ b/src/soak/run_settings.hpp
@@ -18,7 +18,8 @@
   Effect effects[3] = {Effect::Retriable, Effect::Deduped, Effect::NonRetriable};  // of the three classes
   bool holds_places = true, probes = false, cancelling = true, second_copies = true;
   int max_attempts = 6;
-  bool proxied = false;  // a fault proxy stands before the engines
+  bool proxied = false;      // a fault proxy stands before the engines
+  bool late_notice = false;  // prefill engines do not notice that a read was given up before it is over
 
   // How long after SIGTERM a node may be killed, by the protocol page.
   Span kill_after_sigterm() const;
--- a/src/soak/schedule.cpp
+++ b/src/soak/schedule.cpp
@@ -64,6 +64,8 @@
     case Trouble::AnswerDoubled: return "answer_doubled";
     case Trouble::ClientLeaves: return "client_leaves";
     case Trouble::ClientStops: return "client_stops";
+    case Trouble::HalfRequests: return "half_requests";
+    case Trouble::NodeStop: return "node_stop";
     case Trouble::RetryStorm: return "retry_storm";
     case Trouble::DescriptorsUsedUp: return "descriptors_used_up";
     case Trouble::WallClockStep: return "wall_clock_step";
--- a/src/soak/schedule.hpp
+++ b/src/soak/schedule.hpp
@@ -33,6 +33,8 @@
   AnswerDoubled,  // an engine sends a second answer behind the first
   ClientLeaves,   // clients close their connections while they wait
   ClientStops,    // clients stop in mid-request and stay
+  HalfRequests,   // a crowd of clients does so at once
+  NodeStop,       // a node's process is stopped for a tenth of a second, again and again
   RetryStorm,     // clients that were refused or failed ask again at once, several times
   DescriptorsUsedUp,  // idle connections use up a node's share of descriptors
   WallClockStep,      // a node's wall clock is an hour off, from the start or from some moment on
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -2,7 +2,10 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <cmath>
 #include <filesystem>
+#include <functional>
 #include <sstream>
 #include <stdexcept>
 
@@ -12,6 +15,7 @@
 #include "soak/discovery.hpp"
 #include "soak/engine_process.hpp"
 #include "soak/fault_proxy.hpp"
+#include "soak/half_requests.hpp"
 #include "soak/node_process.hpp"
 #include "soak/oracle.hpp"
 
@@ -25,6 +29,8 @@
 constexpr Span settles_within = Span::millis(1500);  // what is held at the end is let go by then
 constexpr Span old_discovery_ends = Span::millis(1000);
 constexpr std::size_t idle_connections = 400;
+constexpr Span node_stop_every = Span::millis(400), node_stopped_for = Span::millis(100);
+constexpr Span proxy_delay = Span::millis(250);          // of what the proxy delays, at most
 constexpr Span silent_stream_ends = Span::millis(6000);  // a node waits 4.5 s for a silent engine
 constexpr double links_struck = 0.02;                    // of what the proxy passes on
 constexpr std::size_t most_violations_told = 12, most_stories_told = 3;
@@ -42,6 +48,12 @@
 constexpr const char* called_off_reasons[] = {"\"reason\":\"no sign of the engine\"",
                                               "\"reason\":\"connection silent\""};
 
+template <std::size_t count>
+bool has_one_of(const std::string& line, const char* const (&words)[count]) {
+  return std::any_of(std::begin(words), std::end(words),
+                     [&](const char* word) { return line.find(word) != std::string::npos; });
+}
+
 class Folder {
  public:
   Folder() {
@@ -62,7 +74,9 @@
 // One node with its two discovery agents, of which it follows one, and its clients.
 struct NodeSite {
   NodeSite(std::size_t number, const NodeProgram& program, const EngineList& list, Journal& journal)
-      : process(number, program, journal), agents{{number, list, journal}, {number, list, journal}} {}
+      : process(number, program, journal),
+        agents{{number, list, journal}, {number, list, journal}},
+        half_requests(number, journal) {}
   DiscoveryAgent& agent() { return agents[follows]; }
   NodeProcess process;
   DiscoveryAgent agents[2];
@@ -70,6 +84,9 @@
   std::optional<Instant> moved;
   std::vector<std::unique_ptr<SoakClient>> clients;
   std::vector<net::Stream> idle;
+  HalfRequests half_requests;
+  std::optional<Instant> stops_since;  // it is stopped again and again
+  bool stopped = false;
 };
 
 class Run {
@@ -85,6 +102,7 @@
       engines_.push_back(
           std::make_unique<EngineProcess>(k, role, options.engine_program, held_, journal_, attempts_));
     }
+    for (const auto& engine : engines_) engine->set(EngineCommand::Fault::LateNotice, settings_.late_notice);
     if (settings_.proxied) start_proxy();
     for (std::size_t k = 0; k < engines_.size(); ++k) list(k, Lifecycle::Ready, 0);
     for (std::size_t k = 0; k < schedule_.nodes; ++k)
@@ -197,6 +215,11 @@
         break;
       case Trouble::AnswerCut: engine.set(Fault::CutAnswers, begins); break;
       case Trouble::AnswerDoubled: engine.set(Fault::DoubleAnswers, begins); break;
+      case Trouble::HalfRequests:
+        if (const auto address = site.process.address(); begins && address)
+          site.half_requests.begin(*address);
+        break;
+      case Trouble::NodeStop: site.stops_since = begins ? std::optional(clock_now()) : std::nullopt; break;
       case Trouble::DescriptorsUsedUp: use_up_descriptors(site, begins); break;
       default: break;  // those of clients and of the fault library go by the schedule itself
     }
@@ -241,6 +264,8 @@
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
       NodeSite& site = *nodes_[n];
       site.process.poll();
+      site.half_requests.look();
+      hold_up(site);
       if (site.process.ended()) start(n, clock_now() - began_);
       if (site.moved && clock_now() - *site.moved > old_discovery_ends) {
         site.agents[1 - site.follows].down(true);
@@ -250,13 +275,29 @@
     }
   }
 
+  // A process that is held up anywhere, not only before a write.
+  static void hold_up(NodeSite& site) {
+    const auto into_period = [&] {
+      return std::fmod((clock_now() - *site.stops_since).as_millis(), node_stop_every.as_millis());
+    };
+    const bool stop = site.stops_since && into_period() < node_stopped_for.as_millis();
+    if (stop == site.stopped) return;
+    site.process.stop(stop);
+    site.stopped = stop;
+  }
+
   Result finish() {
+    for (auto& site : nodes_) hold_up(*site);
     for (auto& site : nodes_)
       for (auto& client : site->clients) client->stop();
     for (auto& site : nodes_) site->clients.clear();
     const Instant quiet = clock_now();
-    while (clock_now() - quiet < settles_within) {
-      for (auto& site : nodes_) site->process.poll();
+    const auto half_requests_left = [&] {
+      return std::any_of(nodes_.begin(), nodes_.end(),
+                         [](const auto& site) { return !site->half_requests.empty(); });
+    };
+    while (clock_now() - quiet < settles_within || half_requests_left()) {
+      for (auto& site : nodes_) site->process.poll(), site->half_requests.look();
       usleep(static_cast<useconds_t>(tick.as_micros()));
     }
     for (auto& site : nodes_) site->process.terminate();
@@ -271,32 +312,36 @@
     limits.cold_from = settings_.cold_from;
     limits.fall = settings_.fall;
     limits.fall_multiple = settings_.fall_multiple;
+    if (proxy_) limits.link_delay = proxy_delay;
     limits.engines_of_role = std::max<std::size_t>(1, schedule_.engines / 2);
     for (const Window& w : schedule_.windows)
       if (w.trouble == Trouble::LinkBroken || (w.trouble == Trouble::LinkFaults && proxy_))
         excuse_cuts(w, limits);
+    for (const auto& site : nodes_)
+      for (const ConnectionEnded& ended : site->process.connections_ended()) journal_.add(ended);
     const Verdict verdict = judge(journal_.all(), limits, end);
     return report(verdict, own_faults_found(), (end - began_).seconds());
   }
 
-  // What the nodes logged of a request.
-  std::string node_lines_of(const std::string& request) const {
-    std::string out;
+  void for_each_log_line(const std::function<void(const std::string&)>& take) const {
     for (const auto& site : nodes_) {
       std::istringstream log(site->process.log_text());
-      for (std::string line; std::getline(log, line);)
-        if (line.find(request) != std::string::npos) out += "    " + line + "\n";
+      for (std::string line; std::getline(log, line);) take(line);
     }
+  }
+
+  // What the nodes logged of a request.
+  std::string node_lines_of(const std::string& request) const {
+    std::string out;
+    for_each_log_line([&](const std::string& line) {
+      if (line.find(request) != std::string::npos) out += "    " + line + "\n";
+    });
     return out;
   }
 
   std::size_t attempts_called_off() const {
     std::size_t count = 0;
-    for (const auto& site : nodes_) {
-      std::istringstream log(site->process.log_text());
-      for (std::string line; std::getline(log, line);)
-        for (const char* reason : called_off_reasons) count += line.find(reason) != std::string::npos;
-    }
+    for_each_log_line([&](const std::string& line) { count += has_one_of(line, called_off_reasons); });
     return count;
   }
 
@@ -310,12 +355,9 @@
 
   std::vector<std::string> own_faults_found() const {
     std::vector<std::string> out;
-    for (const auto& site : nodes_) {
-      std::istringstream log(site->process.log_text());
-      for (std::string line; std::getline(log, line);)
-        for (const char* fault : own_faults)
-          if (line.find(fault) != std::string::npos) out.push_back(line);
-    }
+    for_each_log_line([&](const std::string& line) {
+      if (has_one_of(line, own_faults)) out.push_back(line);
+    });
     return out;
   }
 
@@ -328,7 +370,7 @@
     out << "seed " << schedule_.seed << ": " << (result.passed ? "passed" : "FAILED") << "; attempts "
         << verdict.attempts;
     for (const auto& [kind, count] : verdict.answers) out << ", " << name_of(kind) << " " << count;
-    out << "\n";
+    out << ", held back " << verdict.streams_held_back << " of " << verdict.streams << "\n";
     std::size_t told = 0;
     for (const Violation& v : verdict.violations)
       if (++told <= most_violations_told)
--- a/tests/program/cases_test.cpp
+++ b/tests/program/cases_test.cpp
@@ -485,6 +485,24 @@
   EXPECT_EQ(b.size(), 2u);
 }
 
+// Found by the soak (seed 1013): an attempt that waited for a release kept it from being written.
+TEST(ReleaseGate, AReleaseThatAnAttemptWaitsForIsWritten) {
+  ReleaseGate gate;
+  const int ordered = gate.order_release();
+  std::atomic<bool> waits = false;
+  std::thread attempt([&] {
+    waits = true;
+    EXPECT_TRUE(gate.begin_attempt(net::clock_now() + Span::millis(10000)));
+  });
+  while (!waits) std::this_thread::yield();
+  const Instant looked_until = net::clock_now() + Span::millis(30);
+  bool may_be_written = true;
+  while (may_be_written && net::clock_now() < looked_until) may_be_written = gate.may_release(ordered);
+  EXPECT_TRUE(may_be_written);
+  gate.end_release();
+  attempt.join();
+}
+
 TEST(ReleaseGate, AnAttemptWaitsForAReleaseThatWasOrderedAndNoneIsWrittenAfterIt) {
   ReleaseGate gate;
   const auto soon = [](int millis) { return net::clock_now() + Span::millis(millis); };
--- a/tests/program/soak_test.cpp
+++ b/tests/program/soak_test.cpp
@@ -129,6 +129,78 @@
   EXPECT_EQ(later.sent().attempt(1, 2400, 2500).answered(AnswerKind::Stream, 2500, "x").only(), Rule::Drain);
 }
 
+// A connection that had rested may end unread; one that had been read to a request's last byte may not.
+TEST(SoakOracle, SeesRequestsThatWereReadAndNotAnswered) {
+  const auto judged = [](std::size_t read, int closed_at) {
+    Story s;
+    s.sent();
+    s.entries.push_back(ConnectionEnded{0, 4000, 900, at(300)});  // an earlier connection of that port
+    s.entries.push_back(ConnectionEnded{0, 4000, read, at(closed_at)});
+    RequestEnded ended{"a", at(1200), AnswerKind::NotReceived, {}};
+    ended.connected = at(500), ended.port = 4000, ended.bytes_written = 700;
+    s.entries.push_back(ended);
+    return s;
+  };
+  EXPECT_EQ(judged(700, 1100).only(), Rule::Lost);
+  EXPECT_TRUE(judged(400, 1100).judged().empty());
+}
+
+TEST(SoakOracle, SeesWaitsThatEnginesAreToldTooLong) {
+  const auto told = [](int wait) {
+    Story s;
+    s.sent().attempt(1, 1050, 1200).answered(AnswerKind::Stream, 1200, "x");
+    for (Entry& entry : s.entries)
+      if (auto* began = std::get_if<AttemptBegan>(&entry)) began->told_wait = Span::millis(wait);
+    return s;
+  };
+  EXPECT_TRUE(told(2000).judged().empty());
+  EXPECT_EQ(told(2500).only(), Rule::LongWait);
+}
+
+TEST(SoakOracle, SeesEventsThatAreHeldBack) {
+  const auto streams = [](int late, int count) {
+    Story s;
+    for (int k = 0; k < count; ++k) {
+      const std::string id = "r" + std::to_string(k);
+      const auto number = static_cast<std::uint64_t>(k + 1);
+      s.entries.push_back(RequestSent{id, 0, Effect::Retriable, at(1000), at(3000)});
+      s.entries.push_back(AttemptBegan{id, 1, number, Role::Decode, at(1010)});
+      s.entries.push_back(AttemptEnded{id, number, at(2000), true, id, false, {at(1100), at(1200)}});
+      RequestEnded ended{id, at(2000), AnswerKind::Stream, id};
+      ended.events_read = {at(1101), at(k < late ? 1800 : 1250)};
+      s.entries.push_back(ended);
+    }
+    return s;
+  };
+  EXPECT_TRUE(streams(4, 40).judged().empty());
+  EXPECT_EQ(streams(5, 40).only(), Rule::HeldBack);
+}
+
+TEST(SoakOracle, SeesHalfRequestsThatAreLeftWithoutAnEnd) {
+  const auto judged = [](std::optional<Instant> ended) {
+    Story s;
+    s.entries.push_back(HalfRequest{0, at(1000), ended});
+    return s;
+  };
+  EXPECT_TRUE(judged(at(4000)).judged().empty());
+  EXPECT_EQ(judged(at(4500)).only(), Rule::HalfRequest);
+  EXPECT_EQ(judged({}).only(), Rule::HalfRequest);
+  Story killed = judged({});
+  killed.entries.push_back(NodeEnded{0, at(3000), NodeEnd::Killed, 9});
+  EXPECT_TRUE(killed.judged().empty());
+}
+
+// Events come no more from an engine that is stopped: a stream may be ended after long enough a silence.
+TEST(SoakOracle, ExcusesStreamsThatAStoppedEngineLeftSilent) {
+  const auto cut = [](int stopped_at) {
+    Story s;
+    s.entries.push_back(EngineStopped{1, at(stopped_at)});
+    return s.sent().attempt(1, 1050, 9000).answered(AnswerKind::CutStream, 5600, "x");
+  };
+  EXPECT_TRUE(cut(1100).judged().empty());
+  EXPECT_EQ(cut(3000).only(), Rule::Lost);
+}
+
 TEST(SoakOracle, SeesEnginesInSlowStartThatGetTooMuch) {
   const auto judged = [](int attempts, bool told) {
     Story s;
--- a/tests/program/stopped_engines_test.cpp
+++ b/tests/program/stopped_engines_test.cpp
@@ -51,6 +51,22 @@
   EXPECT_TRUE(result.passed) << result.report;
 }
 
+// An engine that goes on takes the reads that the kernel kept for it, and may have done so before it notices
+// that they were given up meanwhile: by clients that left, and at the end of their time.
+TEST(StoppedEngines, WhatReadsLeaveThatWereGivenUpAtStoppedEnginesIsLetGo) {
+  RunSettings settings;
+  settings.late_notice = true;
+  settings.give_up = Span::millis(900);
+  settings.second_copies = false;
+  std::vector<Window> windows{stop(Trouble::RoleStop, 1200, 1800, a_prefill_engine),
+                              stop(Trouble::EngineStop, 1200, 1800, a_prefill_engine),
+                              stop(Trouble::RoleStop, 4000, 1200, a_prefill_engine + 1)};
+  for (std::size_t node = 0; node < 3; ++node)
+    windows.push_back({Trouble::ClientLeaves, Span::millis(1000), Span::millis(4500), node, 0});
+  const Result result = play(9311, windows, settings);
+  EXPECT_TRUE(result.passed) << result.report;
+}
+
 // Decode engines that run and take 0.45 s until a first token, with a limit of 0.5 s: a probe tells them from
 // stopped ones, and what has only one attempt is not called off.
 TEST(StoppedEngines, BusyEnginesThatAnswerProbesLoseNoCalls) {
