Failing test: a state that is let go while a called-off attempt still waits for it stays

Cause: rescue() cancels and hands over in one step (router.cpp, rescue); as the first engine had given no sign in this hold and the limit was near, hand_over went back to the queue and let go at once, while send 2 had not yet ended. Cases::act(LetGo) passes over what a send waits for, and nothing came back to it: send_failed returns where the phase is not Answering. Ruled out: a release that was not taken or was withheld (no line of either kind), an attempt that was out (none in n4's log), the clock of what is held (the node's own check says the same, "held too long").

--- a/tests/program/cases_test.cpp
+++ b/tests/program/cases_test.cpp
@@ -299,6 +299,29 @@
   }
 }
 
+// Found on the day split+term+brink (simulated), by following one id: the module let go of a state in the
+// same step in which it called off the attempt that waited for it. The attempt still had the state then, and
+// nobody let go of it once it had ended.
+TEST(Cases, WhatAnAttemptWaitedForIsLetGoAfterItsEndIfThatWasOrderedBefore) {
+  const Instant t = Instant::at(ms(1));
+  Cases c = whole_release_with_7_taken(t);
+  std::vector<Event> more;
+  c.obey(t, {SendTo{7, eng(1), {}}}, more);
+  c.ended(t, 7, 0, Ending{.as = EndedAs::ReadDone, .state = "kept", .report = {}});
+  c.obey(t, {SendTo{7, eng(2), {}}}, more);
+  c.take_orders();
+  c.obey(t, {CancelSend{7, 1}, LetGo{7, true}}, more);
+  const auto releases = [&] {
+    const auto orders = c.take_orders();
+    return std::count_if(orders.begin(), orders.end(),
+                         [](const Order& o) { return std::holds_alternative<Release>(o); });
+  };
+  EXPECT_EQ(releases(), 0);  // it may be taken yet
+  c.ended(t, 7, 1, Ending{.as = EndedAs::Cancelled, .state = {}, .report = {}});
+  c.tidy(7);
+  EXPECT_EQ(releases(), 1);
+}
+
 TEST(Cases, AReadWhoseAnswerWasLostIsLetGoByName) {
   Cases c("f", settings());
   c.offers({true, true, true});
