A state that was to be let go is let go once the called-off attempt that waited for it has ended

Cases remembers of a holding that it is unwanted where LetGo finds it awaited, and releases it at that send's end (cases.cpp, act(LetGo) and ended).

--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -123,6 +123,7 @@
   if (over) c->final = Final::Given;
   for (auto& h : c->holdings)
     if (h.awaited_by == send) h.awaited_by.reset();
+  release(*c, [](const Holding& h) { return h.unwanted && !h.awaited_by; });
   if (e.as == EndedAs::ReadDone) {
     c->holdings.push_back({s.engine, s.name, e.state, false});
   } else if (s.leg == Leg::Read) {
@@ -251,6 +252,8 @@
 void Cases::act(Instant, const LetGo& a, std::vector<Event>&) {
   Case* c = find(a.inf);
   if (c) release(*c, [](const Holding& h) { return !h.awaited_by; });
+  if (c)
+    for (Holding& awaited : c->holdings) awaited.unwanted = true;
   if (c && a.at_once && c->loose && c->holdings.empty() && c->final != Final::Streaming) let_go_now(*c);
   else let_loose_go(a.inf);
 }
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -144,6 +144,7 @@
     std::string name, params;
     bool place = false;
     std::optional<std::uint8_t> awaited_by = {};  // the send that takes it
+    bool unwanted = false;                        // to be let go once that send has ended without it
   };
   struct Sent {
     EngineId engine;
