Tickets, engine streams and what is asked for leave core.cpp; release rules have their module

What is tuned of releases, abandoned calls and acknowledgement stands in routing/release_rules.hpp (values unchanged) and is named among the policies. A guard ends a release however its thread leaves; an attempt's sign is looked up once; a read and a place are abandoned by one function; Links::latest had no caller. No change of behaviour meant.

--- a/src/front/bounded_queue.hpp
+++ b/src/front/bounded_queue.hpp
@@ -34,7 +34,8 @@
     items_.push_back(std::move(item));
     filled_.notify_one();
   }
-  // Beyond its bound where need be: for the few reports of whoever takes from it, which would wait for itself.
+  // Beyond its bound where need be: for the few reports of whoever takes from it, which would wait for
+  // itself.
   void put_now(T item) {
     const std::lock_guard lock(mutex_);
     if (closed_) return;
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -35,6 +35,7 @@
 #include "net/thread.hpp"
 #include "prefix/knowledge.hpp"
 #include "roster/roster.hpp"
+#include "routing/release_rules.hpp"
 #include "routing/router.hpp"
 
 namespace calicograde::front {
@@ -50,18 +51,10 @@
 constexpr std::size_t roster_bytes = 16 << 20;  // of one document
 constexpr Span roster_silence = Span::millis(30000);
 constexpr std::size_t keys_kept = 65536;
-constexpr std::size_t longest_tail = 64 << 10;  // of an event that is held until it is whole
-constexpr std::size_t cache_bytes = 64 << 20;   // of one event of an engine's cache
+constexpr std::size_t cache_bytes = 64 << 20;  // of one event of an engine's cache
 constexpr Span halls_every = Span::millis(100);
 constexpr Span cache_again = Span::millis(500), cache_silence = Span::millis(10000);
 constexpr std::size_t runs_a_slice = 256;  // of an index, copied out between two events
-// Of one engine, before the next is asked: 99 in 100 answer within 9 ms on days at the brink, the rest never.
-constexpr Span release_answer = Span::millis(25);
-constexpr Span fresh_sign = Span::millis(100);  // an engine that showed so lately that it runs, still does
-constexpr std::size_t asked_where_none_is_fresh = 3, takers_asked = 32;
-constexpr std::size_t abandoned_calls = 24;              // descriptors that they may take
-constexpr Span stop_noticed_within = Span::millis(100);  // where the connection stays open after a stop
-constexpr double acknowledged_part_of_pin = 0.5;  // of the pin limit: what is left serves one more attempt
 // Between a look at the clock and a write a process may be held up for so long.
 constexpr Span held_up_most = Span::millis(150);
 constexpr Span begin_after_leave = Span::millis(100) + held_up_most;
@@ -151,181 +144,6 @@
 
 }  // namespace
 
-EngineStream::EngineStream(http::ClientConnection link, Begun begun, net::Address engine, Usage usage,
-                           std::shared_ptr<EngineSign> sign)
-    : link_(std::move(link)),
-      begun_(std::move(begun)),
-      engine_(std::move(engine)),
-      usage_(usage),
-      sign_(std::move(sign)) {}
-
-EngineStream::Next EngineStream::next_bytes(std::string& out, Instant deadline, int client_fd) {
-  // An event that has come in part is of use to nobody yet, and each write costs the client's side a
-  // delivery: found on a day whose messages come in pieces, where a stream lagged 0.3 s behind its engine.
-  const auto whole = [&] {
-    const std::size_t n =
-        body_done_ || tail_.size() > longest_tail ? tail_.size() : http::whole_events(tail_);
-    out = tail_.substr(0, n), tail_.erase(0, n);
-  };
-  out.clear();
-  if (!begun_.bytes.empty()) return tail_ = std::exchange(begun_.bytes, {}), whole(), Next::Chunk;
-  if (body_done_) return Next::Finished;
-  link_.stream().watch(client_fd);
-  const std::size_t before = tail_.size();
-  const BodyEnd end = link_.read_body(tail_, deadline);
-  if (tail_.size() > before && sign_) sign_->note(clock_now());
-  if (end == BodyEnd::Done) body_done_ = true;
-  if (tail_.size() > before || (body_done_ && !tail_.empty())) return whole(), Next::Chunk;
-  switch (end) {
-    case BodyEnd::Done: return Next::Finished;
-    case BodyEnd::Broken: return link_.garbled() ? Next::Garbage : Next::Broken;
-    case BodyEnd::Aborted: return Next::ClientLeft;
-    default: return Next::Silent;
-  }
-}
-
-EngineStream::Next EngineStream::next(engines::Chunk& out, Instant deadline, int client_fd) {
-  link_.stream().watch(client_fd);
-  for (;;) {
-    while (at_ < begun_.ready.size()) {
-      auto chunk = engines::parse_chunk(begun_.ready[at_++].data);
-      if (!chunk) return Next::Garbage;
-      if (chunk->usage) {
-        const double kept = std::max(usage_.kept_tokens, chunk->usage->kept_tokens);
-        usage_ = *chunk->usage, usage_.kept_tokens = std::min(kept, usage_.prompt_tokens);
-      }
-      if (chunk->done) finished_ = true;
-      if (!chunk->says()) continue;
-      out = std::move(*chunk);
-      return Next::Chunk;
-    }
-    begun_.ready.clear(), at_ = 0;
-    if (body_done_) return finished_ ? Next::Finished : Next::Broken;
-    std::string bytes;
-    const BodyEnd end = link_.read_body(bytes, deadline);
-    if (!bytes.empty() && sign_) sign_->note(clock_now());
-    if (!begun_.events.feed(bytes, begun_.ready)) return Next::Garbage;
-    if (end == BodyEnd::Done) body_done_ = true;
-    if (end == BodyEnd::Broken) return Next::Broken;
-    if (end == BodyEnd::Aborted) return Next::ClientLeft;
-    if (end == BodyEnd::TimedOut) return Next::Silent;
-  }
-}
-
-net::Waited Ticket::wait(int client_fd, Instant deadline) {
-  constexpr Span look_every = Span::millis(500);
-  std::unique_lock lock(mutex_);
-  for (;;) {
-    const auto come = [&] { return stream_ || final_ || poked_ || peer_left_; };
-    const Span left = std::min(deadline - clock_now(), client_fd >= 0 ? look_every : Span::millis(600000));
-    come_.wait_for(lock, std::chrono::microseconds(std::max<std::int64_t>(0, left.as_micros())), come);
-    if (stream_ || final_ || poked_) return poked_ = false, net::Waited::Woken;
-    if (peer_left_) return net::Waited::PeerLeft;
-    if (client_fd >= 0 && net::hung_up(client_fd)) return net::Waited::PeerLeft;
-    if (clock_now() >= deadline) return net::Waited::TimedOut;
-  }
-}
-
-void Ticket::peer_left() {
-  const std::lock_guard lock(mutex_);
-  peer_left_ = true;
-  if (!left_at_) left_at_ = clock_now();
-  come_.notify_all();
-}
-
-void Ticket::poke() {
-  const std::lock_guard lock(mutex_);
-  poked_ = true;
-  come_.notify_all();
-}
-
-std::variant<std::monostate, Final, std::unique_ptr<EngineStream>> Ticket::take() {
-  const std::lock_guard lock(mutex_);
-  if (stream_) return std::move(stream_);
-  if (final_) return *std::exchange(final_, {});
-  return std::monostate{};
-}
-
-std::optional<Instant> Ticket::left_at() const {
-  const std::lock_guard lock(mutex_);
-  return left_at_;
-}
-
-int Ticket::writes() const {
-  const std::lock_guard lock(mutex_);
-  return writes_;
-}
-
-bool Ticket::leave() {
-  const std::lock_guard lock(mutex_);
-  left_ = true;
-  return claim_.leave();
-}
-
-void Ticket::forget_client() {
-  const std::lock_guard lock(mutex_);
-  client_fd_ = -1;
-}
-
-Ticket::Demand Ticket::demand() const {
-  const std::lock_guard lock(mutex_);
-  if (left_ || claim_.state() == Claim::State::Left) return Demand::ClientGone;
-  if (claim_.state() != Claim::State::Open) return Demand::Answered;
-  return client_fd_ >= 0 && net::hung_up(client_fd_) ? Demand::ClientGone : Demand::Waiting;
-}
-
-std::uint8_t Ticket::streaming_send() const {
-  const std::lock_guard lock(mutex_);
-  return claim_.send().value_or(0);
-}
-
-bool Ticket::claim_stream(std::uint8_t send) {
-  const std::lock_guard lock(mutex_);
-  return claim_.stream(send);
-}
-
-bool Ticket::deliver(std::unique_ptr<EngineStream>& stream) {
-  const std::lock_guard lock(mutex_);
-  if (left_) return false;
-  stream_ = std::move(stream);
-  come_.notify_all();
-  return true;
-}
-
-bool Ticket::answer(const Final& final) {
-  const std::lock_guard lock(mutex_);
-  if (!claim_.answer()) return false;
-  final_ = final;
-  come_.notify_all();
-  return true;
-}
-
-void Ticket::write_ordered(Instant now) {
-  const std::lock_guard lock(mutex_);
-  if (writes_++ == 0) first_write_ = now;
-}
-
-void Ticket::write_unrun() {
-  const std::lock_guard lock(mutex_);
-  --writes_;
-}
-
-std::pair<bool, Instant> Ticket::may_have_run() const {
-  const std::lock_guard lock(mutex_);
-  // Where the client left on its own, a write may yet be ordered before the module's owner hears of it.
-  return {writes_ > 0 || claim_.state() == Claim::State::Left, writes_ > 0 ? first_write_ : net::clock_now()};
-}
-
-void Ticket::learn(const Usage& usage) {
-  const std::lock_guard lock(mutex_);
-  usage_ = usage, usage_.answer_tokens = 0;
-}
-
-Usage Ticket::usage() const {
-  const std::lock_guard lock(mutex_);
-  return usage_;
-}
-
 struct Core::Inside {
   struct Open {
     std::shared_ptr<Ticket> ticket;
@@ -1002,7 +820,7 @@
     if (!facts.asked_whole && clock_now() >= s.until) facts.timed_out = true;
     if (!facts.asked_whole) return false;
     const auto sign = p.signs.of(s.engine);
-    const Attempt attempt{s, control, at, *sign, clock_now(), may_be_abandoned};
+    const Attempt attempt{s, control, at, sign, clock_now(), may_be_abandoned};
     http::Response head;
     BodyEnd end = read_head(p, attempt, link, head, facts);
     facts.garbled = link.garbled();
@@ -1014,7 +832,7 @@
       // An engine that ended the connection of an attempt that was given up has noticed it.
       const bool ended_by_engine = end == BodyEnd::Broken && !facts.called_off;
       const bool noticed = ended_by_engine && (facts.arrived || control.stopped());
-      if (may_be_abandoned && !noticed) abandon(p, s, std::move(link));
+      if (may_be_abandoned && !noticed) abandon(p, {s.inf, s.engine, s.name}, std::move(link));
       return false;
     }
     p.dialect->head(head, facts, ending);
@@ -1040,7 +858,7 @@
     const StartSend& order;
     const SendControl& control;
     const net::Address& at;
-    EngineSign& sign;
+    const std::shared_ptr<EngineSign> sign;
     const Instant written;
     const bool may_be_abandoned;  // a stop leaves its connection open
   };
@@ -1048,7 +866,7 @@
   // Whether its last byte has come to an engine that runs: the engine's machine has it, and the engine has
   // said something since, on whatever connection.
   static bool has_arrived(const Attempt& a, const http::ClientConnection& link) {
-    return a.sign.follows(a.written) && link.stream().acknowledged().value_or(true);
+    return a.sign->follows(a.written) && link.stream().acknowledged().value_or(true);
   }
 
   // Whether what is held for the request waits until the engine shows that it runs.
@@ -1072,7 +890,7 @@
     if (s.probe_at && *s.probe_at < s.until) {
       const BodyEnd end = read_by(*s.probe_at);
       if (end != BodyEnd::TimedOut) return end;
-      if (needs_sign(a) && !has_arrived(a, link)) probe(p, s, a.at);
+      if (needs_sign(a) && !has_arrived(a, link)) probe(p, a);
     }
     const Instant shown_by = s.sign_by.value_or(a.written + pin_limit * acknowledged_part_of_pin);
     if (shown_by < s.until) {
@@ -1090,7 +908,7 @@
   }
 
   static BodyEnd call_off(const Attempt& a, SendFacts& facts) {
-    facts.no_sign = !a.sign.follows(a.written);
+    facts.no_sign = !a.sign->follows(a.written);
     facts.called_off = true;
     return BodyEnd::TimedOut;
   }
@@ -1108,13 +926,14 @@
   }
 
   // Whether the engine's process runs: whatever it answers shows that it does.
-  void probe(PoolParts& p, const StartSend& s, const net::Address& at) {
-    const auto sign = p.signs.of(s.engine);
+  void probe(PoolParts& p, const Attempt& attempt) {
+    const auto sign = attempt.sign;
     const auto question = p.dialect->probe();
     if (!question || !sign->begin_probe()) return;
     const Span within = p.settings.routing.pin_limit;
     ++probes;
-    const auto ask = [this, &p, at, sign, engine = s.engine, within, words = *question] {
+    const auto ask = [this, &p, at = attempt.at, sign, engine = attempt.order.engine, within,
+                      words = *question] {
       std::string text;
       const auto head = short_ask(p, engine, at, words, text, within);
       sign->end_probe();
@@ -1126,12 +945,9 @@
     if (!errands.submit(ask)) sign->end_probe();
   }
 
-  // A read that was given up and may be taken yet, once its engine runs again: what it leaves is released.
-  void abandon(PoolParts& p, const StartSend& s, http::ClientConnection link) {
-    keep_abandoned(p, {s.inf, s.engine, s.name}, std::move(link));
-  }
-
-  void keep_abandoned(PoolParts& p, const Release& undo, http::ClientConnection link) {
+  // A read or a place that was given up and may be taken yet, once its engine runs again: what it leaves is
+  // released.
+  void abandon(PoolParts& p, const Release& undo, http::ClientConnection link) {
     const auto sign = p.signs.of(undo.engine);
     abandoned.keep(undo.engine, std::move(link), [this, &p, undo, sign](bool answered) {
       if (answered) sign->note(clock_now());
@@ -1221,7 +1037,7 @@
       if (read && held) read->place_in_doubt(false);
       // Its engine may take it yet, and grant a place that nobody waits for.
       if (!head && link->open() && p.dialect->releases_whole())
-        keep_abandoned(p, {a.inf, a.engine, a.let_go_as}, std::move(*link));
+        abandon(p, {a.inf, a.engine, a.let_go_as}, std::move(*link));
       if (core.log_.shows(Level::Debug))
         core.log_.line(Level::Debug, "place answered",
                        {{"id", std::string_view(a.let_go_as)},
@@ -1294,8 +1110,8 @@
     const auto gate = open == p.open.end() ? std::make_shared<ReleaseGate>() : open->second.gate;
     const bool submitted = submit_release(
         r, [this, &p, r, gate, attempts = gate->order_release(), ordered = clock_now(), where = takers(p)] {
+          const ReleaseGate::EndRelease at_the_end(*gate);
           race_release(p, r, *gate, attempts, ordered, where);
-          gate->end_release();
         });
     if (!submitted) gate->end_release();
   }
@@ -1305,7 +1121,7 @@
     const Words words = p.dialect->release(r);
     ReleaseRace::Rules rules;
     rules.next_after = release_answer;
-    rules.give_up_at = ordered + p.settings.routing.pin_limit + Span::millis(200);
+    rules.give_up_at = ordered + p.settings.routing.pin_limit + release_after_limit;
     const bool fresh = !where.empty() && clock_now() - where.front().sign < fresh_sign;
     rules.at_once = fresh ? 1 : asked_where_none_is_fresh;
     ReleaseRace::Calls calls;
--- a/src/front/links.hpp
+++ b/src/front/links.hpp
@@ -90,18 +90,6 @@
     const std::lock_guard lock(mutex_);
     return idle_now_;
   }
-  // Where links were given back last.
-  std::vector<net::Address> latest(std::size_t most) const {
-    const std::lock_guard lock(mutex_);
-    std::vector<std::pair<Instant, const net::Address*>> by;
-    for (const auto& [to, kept] : kept_)
-      if (!kept.empty()) by.emplace_back(kept.back().since, &to);
-    std::sort(by.begin(), by.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
-    std::vector<net::Address> out;
-    for (const auto& [since, to] : by)
-      if (out.size() < most) out.push_back(*to);
-    return out;
-  }
 
  private:
   struct Kept {
--- a/src/front/release_gate.hpp
+++ b/src/front/release_gate.hpp
@@ -38,6 +38,17 @@
     const std::lock_guard lock(mutex_);
     return attempts == attempts_;
   }
+  // Ends one whatever way its scope is left.
+  class EndRelease {
+   public:
+    explicit EndRelease(ReleaseGate& gate) : gate_(gate) {}
+    ~EndRelease() { gate_.end_release(); }
+    EndRelease(const EndRelease&) = delete;
+    EndRelease& operator=(const EndRelease&) = delete;
+
+   private:
+    ReleaseGate& gate_;
+  };
   void end_release() {
     const std::lock_guard lock(mutex_);
     --releases_;
