--- a/src/faults/fault_library.cpp
+++ b/src/faults/fault_library.cpp
@@ -142,6 +142,9 @@
   static const std::size_t ordered_##name = number_of(#name); \
   if (const int error = ordered_error(ordered_##name)) return fail_with(error)
 
+// Whether the tables above have a place for it.
+bool is_tracked(int fd) { return fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors; }
+
 std::uint64_t monotonic_micros() {
   REAL(clock_gettime);
   timespec t{};
@@ -219,10 +222,8 @@
   ready = true;
 }
 
-bool is_counted(int fd) { return fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors; }
-
 void begin_connection(int fd) {
-  if (connections_file < 0 || !is_counted(fd)) return;
+  if (connections_file < 0 || !is_tracked(fd)) return;
   sockaddr_in peer{};
   socklen_t size = sizeof peer;
   const bool known =
@@ -231,7 +232,7 @@
 }
 
 void end_connection(int fd) {
-  if (!is_counted(fd)) return;
+  if (!is_tracked(fd)) return;
   const unsigned port = peer_port[fd].exchange(0);
   if (port == 0) return;
   char line[64];
@@ -242,17 +243,13 @@
   static_cast<void>(!real_write(connections_file, line, static_cast<std::size_t>(size)));
 }
 
-bool is_silent(int fd) {
-  return fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors && swallowed[fd] > 0;
-}
+bool is_silent(int fd) { return is_tracked(fd) && swallowed[fd] > 0; }
 
-bool is_outgoing(int fd) {
-  return fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors && outgoing[fd];
-}
+bool is_outgoing(int fd) { return is_tracked(fd) && outgoing[fd]; }
 
 // How long a connection is still held back, in microseconds; 0 = it is not.
 std::uint64_t held_back(int fd) {
-  if (fd < 0 || static_cast<std::size_t>(fd) >= most_descriptors) return 0;
+  if (!is_tracked(fd)) return 0;
   const std::uint64_t until = connects_at[fd];
   if (until == 0) return 0;
   const std::uint64_t now = monotonic_micros();
@@ -323,8 +320,7 @@
   constexpr int errors[] = {ENFILE, ENOBUFS, ENOMEM};
   if (strikes(Kind::Socket)) return fail_with(one_of(errors));
   const int fd = real_socket(domain, type, protocol);
-  if (fd >= 0 && static_cast<std::size_t>(fd) < most_descriptors)
-    connects_at[fd] = 0, outgoing[fd] = false, swallowed[fd] = 0;
+  if (is_tracked(fd)) connects_at[fd] = 0, outgoing[fd] = false, swallowed[fd] = 0;
   return fd;
 }
 
@@ -334,8 +330,7 @@
   if (strikes(Kind::Eintr)) return fail_with(EINTR);
   if (strikes(Kind::Accept)) return fail_with(one_of(errors));
   const int got = real_accept4(fd, address, size, flags);
-  if (got >= 0 && static_cast<std::size_t>(got) < most_descriptors)
-    connects_at[got] = 0, outgoing[got] = false, swallowed[got] = 0;
+  if (is_tracked(got)) connects_at[got] = 0, outgoing[got] = false, swallowed[got] = 0;
   if (got >= 0) begin_connection(got);
   return got;
 }
@@ -350,9 +345,9 @@
   constexpr int errors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EHOSTUNREACH};
   if (strikes(Kind::Connect)) return fail_with(one_of(errors));
   const int done = real_connect(fd, address, size);
-  if (static_cast<std::size_t>(fd) < most_descriptors) outgoing[fd] = true;
+  if (is_tracked(fd)) outgoing[fd] = true;
   if (done != 0 && errno != EINPROGRESS) return done;
-  if (strikes(Kind::LateConnect) && static_cast<std::size_t>(fd) < most_descriptors) {
+  if (strikes(Kind::LateConnect) && is_tracked(fd)) {
     connects_at[fd] = monotonic_micros() + latest_connect_micros / 2 + draw() % (latest_connect_micros / 2);
     return fail_with(EINPROGRESS);
   }
@@ -377,7 +372,7 @@
   if (is_silent(fd)) return fail_with(EAGAIN);
   if (is_outgoing(fd) && strikes(Kind::Broken)) return break_link(fd);
   const ssize_t got = real_recv(fd, to, (flags & MSG_PEEK) ? size : shortened(size), flags);
-  if (got > 0 && !(flags & MSG_PEEK) && is_counted(fd) && peer_port[fd] != 0)
+  if (got > 0 && !(flags & MSG_PEEK) && is_tracked(fd) && peer_port[fd] != 0)
     bytes_read[fd] += static_cast<std::uint64_t>(got);
   return got;
 }
--- a/src/faults/fault_library.hpp
+++ b/src/faults/fault_library.hpp
@@ -6,7 +6,7 @@
 // The next `times` calls of that name, on any thread, fail with `error` (an errno value) and have no effect
 // (but for a connect that is interrupted, which goes on).
 // Known names: poll, epoll_wait, epoll_ctl, socket, accept4, connect, recv, send, read, write, fsync,
-// fdatasync, renameat, rename, opendir, close.
+// fdatasync, renameat, rename, opendir.
 void fail_next(const char* call, int error, int times);
 // The next call of that name takes so much longer, as where its thread is not scheduled. Held up can be:
 // close.
--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -251,10 +251,10 @@
 
 void Cases::act(Instant, const LetGo& a, std::vector<Event>&) {
   Case* c = find(a.inf);
-  if (c) release(*c, [](const Holding& h) { return !h.awaited_by; });
-  if (c)
-    for (Holding& awaited : c->holdings) awaited.unwanted = true;
-  if (c && a.at_once && c->loose && c->holdings.empty() && c->final != Final::Streaming) let_go_now(*c);
+  if (!c) return;
+  release(*c, [](const Holding& h) { return !h.awaited_by; });
+  for (Holding& awaited : c->holdings) awaited.unwanted = true;
+  if (a.at_once && c->loose && c->holdings.empty() && c->final != Final::Streaming) let_go_now(*c);
   else let_loose_go(a.inf);
 }
 
--- a/src/soak/child_process.cpp
+++ b/src/soak/child_process.cpp
@@ -3,11 +3,8 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/prctl.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
-#include <cerrno>
 #include <stdexcept>
 
 namespace calicograde::soak {
@@ -47,7 +44,7 @@
 
 void kill_child(pid_t pid) {
   ::kill(pid, SIGKILL);
-  while (::waitpid(pid, nullptr, 0) < 0 && errno == EINTR) {}
+  net::retry_interrupted([&] { return ::waitpid(pid, nullptr, 0); });
 }
 
 void end_with_parent() {
--- a/src/soak/child_process.hpp
+++ b/src/soak/child_process.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <sys/socket.h>
 #include <sys/types.h>
+#include <unistd.h>
 
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "net/interrupted.hpp"
 #include "net/socket.hpp"
 
 // Processes that a run starts of its own program, and that end with it.
@@ -20,6 +23,18 @@
 // SIGKILL, and waits for its end.
 void kill_child(pid_t pid);
 
+// In the child: hands on each command that the run writes to the descriptor, and ends this process with the
+// run.
+template <class Command, class Take>
+[[noreturn]] void heed_commands(int descriptor, Take take) {
+  for (Command command;;) {
+    const ssize_t got =
+        net::retry_interrupted([&] { return ::recv(descriptor, &command, sizeof command, 0); });
+    if (got != sizeof command) _exit(0);
+    take(command);
+  }
+}
+
 // In the child: ends with the process that started it, and writes to closed sockets end nothing.
 void end_with_parent();
 
--- a/src/soak/engine_channel.cpp
+++ b/src/soak/engine_channel.cpp
@@ -4,9 +4,9 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 
 #include "net/clock.hpp"
+#include "net/interrupted.hpp"
 
 namespace calicograde::soak {
 
@@ -30,9 +30,7 @@
   const std::lock_guard lock(mutex_);
   std::uint64_t answer = 0;
   if (::send(descriptor_, &timed, sizeof timed, MSG_NOSIGNAL) != sizeof timed) _exit(0);
-  ssize_t got = 0;
-  do got = ::recv(descriptor_, &answer, sizeof answer, 0);
-  while (got < 0 && errno == EINTR);
+  const ssize_t got = net::retry_interrupted([&] { return ::recv(descriptor_, &answer, sizeof answer, 0); });
   if (got != sizeof answer) _exit(0);
   return answer;
 }
--- a/src/soak/engine_process.cpp
+++ b/src/soak/engine_process.cpp
@@ -4,7 +4,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <cerrno>
 #include <stdexcept>
 #include <utility>
 
@@ -90,8 +89,7 @@
 
 void EngineProcess::listen_to_it(int descriptor) {
   for (EngineCall call;;) {
-    const ssize_t got = ::recv(descriptor, &call, sizeof call, 0);
-    if (got < 0 && errno == EINTR) continue;
+    const ssize_t got = net::retry_interrupted([&] { return ::recv(descriptor, &call, sizeof call, 0); });
     if (got != sizeof call) break;
     const std::uint64_t answer = take(call);
     if (::send(descriptor, &answer, sizeof answer, MSG_NOSIGNAL) != sizeof answer) break;
--- a/src/soak/engines.cpp
+++ b/src/soak/engines.cpp
@@ -1,9 +1,7 @@
 #include "soak/engines.hpp"
 
-#include <sys/socket.h>
 #include <unistd.h>
 
-#include <cerrno>
 #include <cstdlib>
 
 #include "net/clock.hpp"
@@ -152,11 +150,8 @@
   EngineChannel channel(calls_descriptor);
   SoakEngine engine(role, port, channel);
   channel.call(Kind::Listening, "", engine.port());
-  for (EngineCommand command;;) {
-    const ssize_t got = ::recv(commands_descriptor, &command, sizeof command, 0);
-    if (got == sizeof command) engine.set(command);
-    else if (got >= 0 || errno != EINTR) _exit(0);
-  }
+  heed_commands<EngineCommand>(commands_descriptor,
+                               [&](const EngineCommand& command) { engine.set(command); });
 }
 
 }  // namespace calicograde::soak
--- a/src/soak/fault_proxy.cpp
+++ b/src/soak/fault_proxy.cpp
@@ -6,7 +6,6 @@
 
 #include <atomic>
 #include <boost/asio/error.hpp>
-#include <cerrno>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -174,11 +173,7 @@
     ports.push_back(servers.back()->port());
   }
   ::send(commands_descriptor, ports.data(), ports.size() * sizeof ports[0], MSG_NOSIGNAL);
-  for (ProxyCommand command;;) {
-    const ssize_t got = ::recv(commands_descriptor, &command, sizeof command, 0);
-    if (got == sizeof command) faults.set(command);
-    else if (got >= 0 || errno != EINTR) _exit(0);
-  }
+  heed_commands<ProxyCommand>(commands_descriptor, [&](const ProxyCommand& command) { faults.set(command); });
 }
 
 }  // namespace calicograde::soak
--- a/src/soak/half_requests.cpp
+++ b/src/soak/half_requests.cpp
@@ -10,9 +10,6 @@
 constexpr std::size_t clients_in_crowd = 60;
 constexpr Span connect_within = Span::millis(50);
 
-// Whether the node has answered, or ended the connection.
-bool has_ended(const net::Stream& stream) { return stream.stale(); }
-
 }  // namespace
 
 std::string half_request(std::size_t form, const std::string& id) {
@@ -40,7 +37,7 @@
 void HalfRequests::look() {
   const Instant now = clock_now();
   std::erase_if(clients_, [&](const Client& client) {
-    const bool ended = has_ended(client.stream);
+    const bool ended = client.stream.stale();  // the node has answered, or ended the connection
     if (!ended && now - client.at < half_request_stays) return false;
     journal_.add(HalfRequest{node_, client.at, ended ? std::optional(now) : std::nullopt});
     return true;
