What an abandoned call leaves is an entry of its own, beside a state to be fetched

The engine held what the abandoned read had left for 1.5 and 8.8 s. Such a call is now an entry that the fetch does not take, released at the end of the stream.

--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -175,7 +175,10 @@
   let_loose_go(release.inf);
 }
 
-void Cases::abandoned_call_taken(const Release& release) { undo(release); }
+void Cases::abandoned_call_taken(const Release& release) {
+  if (Case* c = find(release.inf)) c->reserved.abandoned_call_taken(now_);
+  undo(release);
+}
 
 void Cases::release_ended(const Release& release, ReleaseEnd end) {
   if (!whole_) return;
--- a/src/routing/reservations.cpp
+++ b/src/routing/reservations.cpp
@@ -4,6 +4,11 @@
 #include <utility>
 
 namespace calicograde {
+namespace {
+
+constexpr int no_number = -1;  // of a call whose attempt or place is over
+
+}  // namespace
 
 std::vector<Reservations::Entry>::iterator Reservations::entry(Kind kind, int number) {
   return std::find_if(entries_.begin(), entries_.end(),
@@ -80,10 +85,12 @@
   if (was_out) restart_clock(now);
 }
 
-void Reservations::abandoned_call_taken(Instant now) { mark_unwanted(now); }
+void Reservations::abandoned_call_taken(Instant now) {
+  unwanted_ = true;
+  entries_.push_back({Kind::State, no_number, now, now, true});
+}
 
 void Reservations::mark_unwanted(Instant now) {
-  constexpr int no_number = -1;
   unwanted_ = true;
   if (entries_.empty()) entries_.push_back({Kind::State, no_number, now, now});
 }
