--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace calicograde::front {
+namespace {
+
+// Calls on different connections that were written closer together may be begun in another order.
+constexpr Span calls_overtake_within = Span::millis(20);
+
+}  // namespace
 
 using engines::Leg;
 
@@ -44,7 +50,7 @@
 std::vector<Cases::LongHold> Cases::long_holds(Instant now, Span limit, Span on_top) {
   std::vector<LongHold> out;
   for (auto& [inf, c] : cases_) {
-    const auto since = c.reserved.reserved_since(true);
+    const auto since = c.reserved.reserved_since();
     if (!since || (!whole_ && c.any_out())) continue;
     const Span held = now - *since;
     const bool too_long = held > limit + on_top && !c.reserved.release_tried_since(*since);
@@ -149,7 +155,7 @@
   Case* c = find(ask.inf);
   using Place = Reservations::PlaceAnswer;
   const Place answer = !held ? Place::Unknown : *held ? Place::Granted : Place::Refused;
-  if (c) c->reserved.place_answered(ask.number, answer, now_);
+  if (c) c->reserved.place_answered(ask.number, answer);
   const auto current = [&](const Holding& h) { return h.name == ask.name; };
   if (!c || std::none_of(c->holdings.begin(), c->holdings.end(), current)) {
     // It was let go before the engine had granted it, or may have: the release may have come first, so it is
@@ -252,8 +258,8 @@
   }
   order.leg = s.leg;
   if (moot) s.out = false, s.ran = false;
-  else if (s.leg == Leg::Read) c->reserved.read_ordered(number, now);
-  else c->reserved.decode_ordered(number, now);
+  else if (s.leg == Leg::Read) c->reserved.read_ordered(number);
+  else c->reserved.decode_ordered(number);
   c->sends.push_back(std::move(s));
   if (moot)
     events.push_back(
@@ -285,7 +291,7 @@
 
 void Cases::let_all_go(Case& c, Instant now) {
   c.holdings.clear();
-  const auto since = c.reserved.reserved_since(false);
+  const auto since = c.reserved.reserved_since();
   let_go_now(c, since ? now - *since : Span{});
 }
 
@@ -359,23 +365,42 @@
   order_release({c.what.inf, engine, c.id, reserved_for});
 }
 
-void Cases::reservations_due(Instant now, std::vector<Event>& events) {
+void Cases::look_at_reservations(Instant now, std::vector<Event>& events) {
   at(now);
-  if (!whole_ || settings_.pin_limit <= Span{}) return;
-  for (const auto& [inf, c] : cases_)
-    if (const auto due = c.reserved.release_due(settings_.pin_limit); due && *due <= now)
+  const Span limit = settings_.pin_limit;
+  if (!whole_ || limit <= Span{}) return;
+  for (auto& [inf, c] : cases_) {
+    if (const auto due = c.reserved.release_due(limit); due && *due <= now)
       events.push_back(ReservationsDue{inf});
+    else if (const auto probe = c.reserved.probe_due(limit); probe && *probe <= now) probe_engines_of(c, now);
+  }
+}
+
+void Cases::probe_engines_of(Case& c, Instant now) {
+  c.reserved.probed(now);
+  if (!settings_.may_probe) return;
+  for (const int read : c.reserved.unshown_reads())
+    orders_.push_back(ProbeEngine{c.sends[static_cast<std::size_t>(read)].engine});
 }
 
-std::optional<Instant> Cases::next_release_due() const {
+std::optional<Instant> Cases::next_look_at_reservations() const {
   std::optional<Instant> next;
-  if (!whole_ || settings_.pin_limit <= Span{}) return next;
+  const Span limit = settings_.pin_limit;
+  if (!whole_ || limit <= Span{}) return next;
   for (const auto& [inf, c] : cases_)
-    if (const auto due = c.reserved.release_due(settings_.pin_limit))
-      next = std::min(next.value_or(*due), *due);
+    for (const auto& due : {c.reserved.release_due(limit), c.reserved.probe_due(limit)})
+      if (due) next = std::min(next.value_or(*due), *due);
   return next;
 }
 
+void Cases::engine_answered(const EngineId& engine, Instant written) {
+  for (auto& [inf, c] : cases_)
+    for (const int read : c.reserved.unshown_reads()) {
+      const Sent& s = c.sends[static_cast<std::size_t>(read)];
+      if (s.engine == engine && s.at + calls_overtake_within < written) c.reserved.read_shown(read);
+    }
+}
+
 // The end of a case: the final answer is given and nothing is out. What is still held then is let go,
 // whatever the module remembered of it (guards rule 5 against what only the sockets know of).
 void Cases::settle(InfId inf) {
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -69,13 +69,18 @@
   Span in;
   std::uint64_t token = 0;
 };
+// Whether the engine begins calls; asked only where probes are allowed.
+struct ProbeEngine {
+  EngineId engine;
+};
 struct DropLinks {
   EngineId engine;
 };
 struct Line {
   std::string text;
 };
-using Order = std::variant<StartSend, StopSend, AskPlace, Release, Answer, ArmTimer, DropLinks, Line>;
+using Order =
+    std::variant<StartSend, StopSend, AskPlace, Release, Answer, ArmTimer, ProbeEngine, DropLinks, Line>;
 
 // How a send ended on its socket.
 struct Ending {
@@ -128,9 +133,12 @@
   // against a fault in the module or a queue that stood still). They are the module's no more.
   void overdue(Instant now, std::vector<Event>& events);
   std::optional<Instant> next_end() const;
-  // Tells the module of inferences whose reservations are due to be released; and when the next one is.
-  void reservations_due(Instant now, std::vector<Event>& events);
-  std::optional<Instant> next_release_due() const;
+  // Looks at what is reserved: probes engines, and tells the module of inferences whose reservations are due
+  // to be released. When the next look is due.
+  void look_at_reservations(Instant now, std::vector<Event>& events);
+  std::optional<Instant> next_look_at_reservations() const;
+  // The engine has answered a call that was written then: it has begun what was ordered before.
+  void engine_answered(const EngineId& engine, Instant written);
   // All budgets end then at the latest, also of what comes later.
   void end_budgets(Instant at);
 
@@ -206,6 +214,7 @@
   void order_release(const Release& release);
   void undo(const Release& release);
   void let_all_go(Case& c, Instant now);
+  void probe_engines_of(Case& c, Instant now);
   void end_named_releases(Case& c);
   static bool streams(const Case& c);
   template <class Which>
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -116,6 +116,10 @@
   Release what;
   ReleaseEnd end;
 };
+struct EngineAnswered {
+  EngineId engine;
+  Instant written;  // the call that it has answered
+};
 struct TakenLate {
   Release undo;
 };
@@ -142,7 +146,8 @@
 };
 struct Report {
   std::size_t pool = 0;
-  std::variant<Taken, Started, Ended, PlaceSaid, Released, TakenLate, Gone, Heard, CacheSaid, Looked, Errand>
+  std::variant<Taken, Started, Ended, PlaceSaid, Released, TakenLate, EngineAnswered, Gone, Heard, CacheSaid,
+               Looked, Errand>
       what;
 };
 
@@ -264,7 +269,7 @@
       for (const auto& p : pools) {
         if (!p->timers.empty()) next = std::min(*next, p->timers.begin()->first);
         if (const auto end = p->cases.next_end()) next = std::min(*next, *end);
-        if (const auto due = p->cases.next_release_due()) next = std::min(*next, *due);
+        if (const auto look = p->cases.next_look_at_reservations()) next = std::min(*next, *look);
       }
       for (Report& r : queue.take(*next - clock_now())) take(*pools[r.pool], r);
       const Instant now = clock_now();
@@ -282,7 +287,7 @@
         }
         std::vector<Event> events;
         p->cases.overdue(now, events);
-        p->cases.reservations_due(now, events);
+        p->cases.look_at_reservations(now, events);
         for (const Event& e : events) feed(*p, now, e);
         carry_out(*p);
       }
@@ -501,6 +506,8 @@
           p.knowledge.read(e->inf, *engine,
                            e->ending.kept_told ? std::optional<double>(e->ending.kept_tokens) : std::nullopt);
       }
+      if (const auto engine = p.cases.engine_of(e->inf, e->send); engine && e->ending.own_answer)
+        p.cases.engine_answered(*engine, now - e->ending.took);
       event = p.cases.ended(now, e->inf, e->send, e->ending);
       about = e->inf;
     } else if (auto* l = std::get_if<PlaceSaid>(&r.what)) {
@@ -509,6 +516,8 @@
       p.cases.release_ended(released->what, released->end);
     } else if (const auto* late = std::get_if<TakenLate>(&r.what)) {
       p.cases.abandoned_call_taken(late->undo);
+    } else if (const auto* answered = std::get_if<EngineAnswered>(&r.what)) {
+      p.cases.engine_answered(answered->engine, answered->written);
     } else if (auto* g = std::get_if<Gone>(&r.what)) {
       event = p.cases.client_left(g->inf);
       about = g->inf;
@@ -586,6 +595,8 @@
         if (!p.cases.has(f->inf)) forget(p, f->inf, now);
       } else if (const auto* t = std::get_if<ArmTimer>(&order)) {
         p.timers.emplace(now + t->in, t->token);
+      } else if (const auto* wanted = std::get_if<ProbeEngine>(&order)) {
+        if (const auto at = p.book.find(wanted->engine)) probe(p, wanted->engine, *at);
       } else if (const auto* d = std::get_if<DropLinks>(&order)) {
         if (const auto at = p.book.find(d->engine)) p.links.drop(*at);
       } else if (const auto* line = std::get_if<Line>(&order)) {
@@ -900,7 +911,7 @@
     if (s.probe_at && *s.probe_at < s.until) {
       const BodyEnd end = read_by(*s.probe_at);
       if (end != BodyEnd::TimedOut) return end;
-      if (needs_sign(a) && !has_arrived(a, link)) probe(p, a);
+      if (needs_sign(a) && !has_arrived(a, link)) probe(p, s.engine, a.at);
     }
     const Instant shown_by = s.sign_by.value_or(a.written + pin_limit * acknowledged_part_of_pin);
     if (shown_by < s.until) {
@@ -935,18 +946,19 @@
     }
   }
 
-  // Whether the engine's process runs: whatever it answers shows that it does.
-  void probe(PoolParts& p, const Attempt& attempt) {
-    const auto sign = attempt.sign;
+  // Whether the engine's process runs and begins calls: whatever it answers shows that it does.
+  void probe(PoolParts& p, const EngineId& engine, const net::Address& at) {
+    const auto sign = p.signs.of(engine);
     const auto question = p.dialect->probe();
     if (!question || !sign->begin_probe()) return;
     const Span within = p.settings.routing.pin_limit;
     ++probes;
-    const auto ask = [this, &p, at = attempt.at, sign, engine = attempt.order.engine, within,
-                      words = *question] {
+    const auto ask = [this, &p, at, sign, engine, within, words = *question] {
       std::string text;
+      const Instant written = clock_now();
       const auto head = short_ask(p, engine, at, words, text, within);
       sign->end_probe();
+      if (head) queue.put({p.index, EngineAnswered{engine, written}});
       core.log_.line(Level::Info, "engine probed",
                      {{"engine", std::string_view(net::text_of(at))},
                       {"status", std::int64_t{head ? head->status : 0}}});
--- a/src/routing/reservations.cpp
+++ b/src/routing/reservations.cpp
@@ -10,36 +10,40 @@
 
 }  // namespace
 
-std::vector<Reservations::Entry>::iterator Reservations::entry(Kind kind, int number) {
+std::vector<Reservations::Entry>::iterator Reservations::place(int number) {
   return std::find_if(entries_.begin(), entries_.end(),
-                      [&](const Entry& e) { return e.kind == kind && e.number == number; });
+                      [&](const Entry& e) { return e.kind == Kind::Place && e.number == number; });
 }
 
-Reservations::Decode* Reservations::decode(int attempt) {
+Reservations::Attempt* Reservations::find(std::vector<Attempt>& attempts, int number) {
   const auto it =
-      std::find_if(decodes_.begin(), decodes_.end(), [&](const Decode& d) { return d.number == attempt; });
-  return it == decodes_.end() ? nullptr : &*it;
+      std::find_if(attempts.begin(), attempts.end(), [&](const Attempt& a) { return a.number == number; });
+  return it == attempts.end() ? nullptr : &*it;
 }
 
 bool Reservations::attempt_is_out() const {
-  return std::any_of(decodes_.begin(), decodes_.end(), [](const Decode& d) { return d.answered; });
+  const auto known = [](const Attempt& a) { return a.known_to_be_out; };
+  return std::any_of(reads_.begin(), reads_.end(), known) ||
+         std::any_of(decodes_.begin(), decodes_.end(), known);
 }
 
-void Reservations::place_asked(int place, Instant now) { entries_.push_back({Kind::Place, place, now}); }
+void Reservations::place_asked(int number, Instant now) { entries_.push_back({Kind::Place, number, now}); }
 
-void Reservations::place_answered(int place, PlaceAnswer answer, Instant now) {
-  const auto it = entry(Kind::Place, place);
+void Reservations::place_answered(int number, PlaceAnswer answer) {
+  const auto it = this->place(number);
   if (it == entries_.end()) return;
   if (answer == PlaceAnswer::Refused) {
     entries_.erase(it);
     return;
   }
-  it->settled_at = now;
+  it->settled = true;
   it->may_come_later = answer == PlaceAnswer::Unknown;
 }
 
-void Reservations::read_ordered(int attempt, Instant now) {
-  entries_.push_back({Kind::ReadOut, attempt, now});
+void Reservations::read_ordered(int attempt) { reads_.push_back({attempt}); }
+
+void Reservations::read_shown(int attempt) {
+  if (Attempt* read = find(reads_, attempt)) read->known_to_be_out = true;
 }
 
 // The limit counts from the end of what was out last.
@@ -48,56 +52,56 @@
 }
 
 void Reservations::read_ended(int attempt, ReadEnd end, bool own_answer, Instant now) {
-  const auto it = entry(Kind::ReadOut, attempt);
-  if (it == entries_.end()) return;
-  const Instant since = it->since;
-  entries_.erase(it);
-  if (own_answer) restart_clock(now);
-  switch (end) {
-    case ReadEnd::NeverRan: break;
-    case ReadEnd::StateKept: entries_.push_back({Kind::State, attempt, now, now}); break;
-    case ReadEnd::Unknown: entries_.push_back({Kind::State, attempt, since, now, true}); break;
-  }
+  const Attempt* read = find(reads_, attempt);
+  if (!read) return;
+  const bool was_out = own_answer || read->known_to_be_out;
+  std::erase_if(reads_, [&](const Attempt& a) { return a.number == attempt; });
+  if (was_out) restart_clock(now);
+  if (end != ReadEnd::NeverRan)
+    entries_.push_back({Kind::State, attempt, now, true, end == ReadEnd::Unknown});
 }
 
-void Reservations::decode_ordered(int attempt, Instant now) { decodes_.push_back({attempt, now}); }
+void Reservations::decode_ordered(int attempt) {
+  decodes_.push_back({attempt});
+  for (Entry& e : entries_)
+    if (e.settled && !e.fetched_from) e.fetched_from = attempt;
+}
 
 void Reservations::decode_answered(int attempt) {
-  Decode* answered = decode(attempt);
+  Attempt* answered = find(decodes_, attempt);
   if (!answered) return;
-  answered->answered = true;
-  const Instant ordered = answered->ordered;
+  answered->known_to_be_out = true;
   const auto states =
       std::count_if(entries_.begin(), entries_.end(), [](const Entry& e) { return e.kind == Kind::State; });
   std::erase_if(entries_, [&](const Entry& e) {
-    const bool settled_before = e.settled_at && *e.settled_at <= ordered;
+    const bool settled_before = e.fetched_from && *e.fetched_from <= attempt;
     const bool one_of_several = e.kind == Kind::State && states > 1;
     return settled_before && !e.may_come_later && !one_of_several;
   });
-  const auto left = [](const Entry& e) { return e.kind != Kind::ReadOut; };
-  unwanted_ = std::any_of(entries_.begin(), entries_.end(), left);
+  unwanted_ = !entries_.empty();
 }
 
 void Reservations::decode_ended(int attempt, bool own_answer, Instant now) {
-  const Decode* ended = decode(attempt);
-  const bool was_out = own_answer || (ended && ended->answered);
-  std::erase_if(decodes_, [&](const Decode& d) { return d.number == attempt; });
+  const Attempt* ended = find(decodes_, attempt);
+  const bool was_out = own_answer || (ended && ended->known_to_be_out);
+  std::erase_if(decodes_, [&](const Attempt& a) { return a.number == attempt; });
   if (was_out) restart_clock(now);
 }
 
 void Reservations::abandoned_call_taken(Instant now) {
   unwanted_ = true;
-  entries_.push_back({Kind::State, no_number, now, now, true});
+  entries_.push_back({Kind::State, no_number, now, true, true});
 }
 
 void Reservations::mark_unwanted(Instant now) {
   unwanted_ = true;
-  if (entries_.empty()) entries_.push_back({Kind::State, no_number, now, now});
+  if (entries_.empty()) entries_.push_back({Kind::State, no_number, now, true});
 }
 
 void Reservations::release_ordered(Instant now) {
   release_ordered_at_ = now;
   release_out_ = true;
+  for (Entry& e : entries_) e.before_release = e.settled;
   unwanted_ = false;
 }
 
@@ -109,24 +113,33 @@
     return;
   }
   // What was settled after the order, or is not settled yet, may have come after the release.
-  std::erase_if(entries_, [&](const Entry& e) { return e.settled_at && *e.settled_at <= ordered; });
+  std::erase_if(entries_, [](const Entry& e) { return e.before_release; });
   for (Entry& e : entries_) e.since = std::max(e.since, ordered);
 }
 
-std::optional<Instant> Reservations::reserved_since(bool surely) const {
-  if (attempt_is_out()) return std::nullopt;
-  std::optional<Instant> since;
-  for (const Entry& e : entries_) {
-    if (surely && e.kind == Kind::ReadOut) continue;
-    since = std::min(since.value_or(e.since), e.since);
-  }
-  return since;
+std::optional<Instant> Reservations::reserved_since() const {
+  if (attempt_is_out() || entries_.empty()) return std::nullopt;
+  const auto earlier = [](const Entry& a, const Entry& b) { return a.since < b.since; };
+  return std::min_element(entries_.begin(), entries_.end(), earlier)->since;
 }
 
 std::optional<Instant> Reservations::release_due(Span pin_limit) const {
-  const auto since = reserved_since(false);
+  const auto since = reserved_since();
   if (!since || release_is_out()) return std::nullopt;
   return std::max(*since + pin_limit * release_due_part, not_before_);
 }
 
+std::optional<Instant> Reservations::probe_due(Span pin_limit) const {
+  const auto since = reserved_since();
+  if (!since || release_is_out() || reads_.empty()) return std::nullopt;
+  return std::max(*since + pin_limit * probe_due_part, probed_at_ + pin_limit * probe_again_part);
+}
+
+std::vector<int> Reservations::unshown_reads() const {
+  std::vector<int> out;
+  for (const Attempt& read : reads_)
+    if (!read.known_to_be_out) out.push_back(read.number);
+  return out;
+}
+
 }  // namespace calicograde
--- a/src/routing/reservations.hpp
+++ b/src/routing/reservations.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include <compare>
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -10,18 +11,23 @@
 // places at decode engines. Free of I/O, clocks and threads; fed with what was asked for and what came of it,
 // in order.
 //
-// Three kinds of evidence can show that an attempt has reached an engine that runs:
-//   1. its own answer has begun: the attempt is out from then on;
-//   2. its engine has written something else after it: the engine ran, and may not have begun this call;
-//   3. the kernel of the engine's machine has acknowledged it: that proves nothing.
-// Only the first kind stops the clock here. Where it is missing, everything is released before the limit,
-// whatever the other two say: a release is harmless to an attempt that has arrived, since it spares what an
-// attempt waits for, and it ends every doubt about one that has not.
+// Four kinds of evidence can show that an attempt has reached an engine that runs, the strongest first:
+//   1. its own answer has begun;
+//   2. its engine has answered another call that was written later: it begins calls, and had this one before
+//   it;
+//   3. its engine has written something else after it: the engine ran, and may have begun nothing since;
+//   4. the kernel of the engine's machine has acknowledged it, or another engine has granted a place: neither
+//      proves anything.
+// The first stops the clock for good. The second stops it for a read, which has no answer of its own before
+// its end. For want of both, everything is released before the limit, whatever else is believed.
 namespace calicograde {
 
 // Of the pin limit: so much later what is reserved is released, whatever is out without an answer of its own.
 // The rest serves the release.
 constexpr double release_due_part = 0.8;
+// Of the pin limit: so much later the engine of a read is probed for which a place may be reserved, and again
+// after each pause, until the read is shown to be out.
+constexpr double probe_due_part = 0.4, probe_again_part = 0.1;
 // Of the pin limit: the pause before the next release, where one gave way to an attempt or was not taken.
 constexpr double release_again_part = 0.1;
 
@@ -37,11 +43,13 @@
 
   // `place` and `attempt`: numbers that the caller gives, each once.
   void place_asked(int place, Instant now);
-  void place_answered(int place, PlaceAnswer answer, Instant now);
-  void read_ordered(int attempt, Instant now);
+  void place_answered(int place, PlaceAnswer answer);
+  void read_ordered(int attempt);
+  // Its engine has answered a call that was written later.
+  void read_shown(int attempt);
   // `own_answer`: here and below, an answer of its own had begun, be it a refusal.
   void read_ended(int attempt, ReadEnd end, bool own_answer, Instant now);
-  void decode_ordered(int attempt, Instant now);
+  void decode_ordered(int attempt);
   // Its first token has come: it has fetched the state, and its engine has taken over all that was settled
   // when it was ordered.
   void decode_answered(int attempt);
@@ -58,37 +66,46 @@
   bool release_is_out() const { return release_out_; }
   // Whether one was ordered since then.
   bool release_tried_since(Instant at) const { return release_ordered_at_ && *release_ordered_at_ >= at; }
-  // Since when something is, or may be, reserved with no attempt known to be out. `surely`: leaves out what a
-  // read that is out may have left.
-  std::optional<Instant> reserved_since(bool surely) const;
+  // Since when something is, or may be, reserved with no attempt known to be out.
+  std::optional<Instant> reserved_since() const;
   // When it has to be released; none while a release is on its way or nothing is reserved.
   std::optional<Instant> release_due(Span pin_limit) const;
+  // When the engines of unshown_reads() are to be probed; none where nothing depends on it.
+  std::optional<Instant> probe_due(Span pin_limit) const;
+  void probed(Instant now) { probed_at_ = now; }
+  std::vector<int> unshown_reads() const;
   std::size_t count() const { return entries_.size(); }
+  auto operator<=>(const Reservations&) const = default;
 
  private:
-  enum class Kind { Place, State, ReadOut };
+  enum class Kind { Place, State };
   struct Entry {
     Kind kind;
-    int number;                              // of the place or the attempt
-    Instant since;                           // it may have begun to exist then
-    std::optional<Instant> settled_at = {};  // what became of it is known since then
-    bool may_come_later = false;             // its engine may not have begun the call yet
+    int number;                   // of the place or the attempt
+    Instant since;                // it may have begun to exist then
+    bool settled = false;         // what became of the call is known
+    bool may_come_later = false;  // its engine may not have begun the call yet
+    // The first decode attempt, and whether a release that is out, was ordered after it was settled.
+    std::optional<int> fetched_from = {};
+    bool before_release = false;
+    auto operator<=>(const Entry&) const = default;
   };
-  struct Decode {
+  struct Attempt {
     int number;
-    Instant ordered;
-    bool answered = false;
+    bool known_to_be_out = false;
+    auto operator<=>(const Attempt&) const = default;
   };
-  Decode* decode(int attempt);
+  static Attempt* find(std::vector<Attempt>& attempts, int number);
   bool attempt_is_out() const;
   void restart_clock(Instant now);
-  std::vector<Entry>::iterator entry(Kind kind, int number);
+  std::vector<Entry>::iterator place(int number);
 
   std::vector<Entry> entries_;
-  std::vector<Decode> decodes_;                // that are out
+  std::vector<Attempt> reads_, decodes_;       // that are out
   std::optional<Instant> release_ordered_at_;  // the last one
   bool release_out_ = false;
   Instant not_before_;  // the next release
+  Instant probed_at_;
   bool unwanted_ = false;
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -19,6 +19,7 @@
 
 #include "routing/cheapest_pair.hpp"
 #include "routing/evidence.hpp"
+#include "routing/reservations.hpp"
 #include "routing/tables.hpp"
 
 namespace calicograde {
@@ -229,7 +230,7 @@
   }
 
   // Nothing shows that an attempt has what is reserved for the request: all of it is released while there is
-  // time. An attempt that has arrived all the same keeps what it waits for.
+  // time. A read that had arrived all the same would leave nothing (seen on the bench), and is given up.
   void on(const ReservationsDue& e) {
     out_.push_back(LetGo{.inf = e.inf, .at_once = true, .though_awaited = true});
     const auto it = infs_.find(e.inf);
@@ -237,7 +238,20 @@
     Inference& f = it->second;
     f.place_at.reset();
     f.state_at.reset();
-    if (f.phase == Phase::Handing) back_to_queue(f);
+    const bool reading = f.phase == Phase::Reading;
+    if (reading) give_up_reads(f);
+    if (reading || f.phase == Phase::Handing) back_to_queue(f);
+  }
+
+  void give_up_reads(Inference& f) {
+    for (Send& s : f.sends) {
+      if (!s.out || !s.to_reader || s.cancelled) continue;
+      f.failed_at.insert(s.engine);
+      // It was probed, and said nothing.
+      if (Engine* e = engine(s.engine); e && s_.may_probe)
+        doubt(s.engine, *e, true, (now_ - s.at).as_millis(), 0);
+      cancel(f, s);
+    }
   }
 
   void on(const EnginesHeard& e) {
@@ -315,10 +329,19 @@
     book_writer(f, writer->id);
     f.phase = own ? Phase::Answering : Phase::Reading;
     send(f, reader->id, !own);
-    if (!own && s_.may_hold_places) hold_place(f);
+    if (!own && s_.may_hold_places && place_outlasts_read(f)) hold_place(f);
     return true;
   }
 
+  // A place has to be released before the limit unless the read is shown to be out: where engines can't be
+  // probed only its end shows that, so that a long read gets none.
+  bool place_outlasts_read(const Inference& f) {
+    if (s_.may_probe || s_.pin_limit <= Span{}) return true;
+    const Send& read = f.sends.back();
+    const double seconds = read.work / rate(engines_[read.engine].entry.kind) + unseen_wait_;
+    return Span::from_seconds(seconds) < s_.pin_limit * release_due_part;
+  }
+
   std::pair<const Candidate*, const Candidate*> cheapest(const std::vector<Candidate>& all) {
     near_.assign(racks_.size(), {never, nullptr});
     std::pair<double, const Candidate*> least{never, nullptr};
