No place for a read that was given up for one; calls that end unanswered are undone twice

A request whose read was given up asks for no place again, and where engines can't be probed no request does for 12 s.

--- a/src/front/abandoned_calls.cpp
+++ b/src/front/abandoned_calls.cpp
@@ -17,7 +17,7 @@
 constexpr Span kept_at_most = Span::millis(30000);
 constexpr Span look_every = Span::millis(1000);
 // After an engine has taken one call it takes those that came on other connections within this time.
-constexpr Span takes_others_within = Span::millis(100);
+constexpr Span takes_others_within = Span::millis(250);
 constexpr std::size_t most_unwatched = 4096;
 
 // Whether the other side has written anything.
@@ -67,15 +67,16 @@
 
 std::size_t AbandonedCalls::count() const {
   const std::lock_guard lock(mutex_);
-  return calls_.size() + unwatched_.size();
+  const auto untold = [](const Unwatched& call) { return !call.told_before; };
+  return calls_.size() +
+         static_cast<std::size_t>(std::count_if(unwatched_.begin(), unwatched_.end(), untold));
 }
 
 void AbandonedCalls::make_room() {
   if (calls_.size() <= most_) return;
   const auto closed = oldest_of_busiest_engine();
-  unwatched_.push_back({closed->engine, std::move(closed->over), closed->since + kept_at_most});
+  add_unwatched(std::move(*closed), false);
   calls_.erase(closed);
-  if (unwatched_.size() > most_unwatched) unwatched_.pop_front();
 }
 
 // So that a connection is left to each engine, from which it is heard when the engine goes on.
@@ -99,11 +100,32 @@
     }
     if (net::wait_ready(waits.data(), waits.size(), until) > 0) changed_.clear();
     // Looked at by the connections themselves: the list may have changed since.
-    for (Call& call : take_those_over()) call.over(has_bytes(call.connection.stream().fd()));
+    for (Call& call : take_those_over()) tell(std::move(call));
     for (const Over& over : take_due(clock_now())) over(false);
   }
 }
 
+// An end without an answer may be that of something between here and the engine, which may take the call yet.
+void AbandonedCalls::tell(Call call) {
+  const bool answered = has_bytes(call.connection.stream().fd());
+  call.over(answered);
+  if (answered) return;
+  const std::lock_guard lock(mutex_);
+  add_unwatched(std::move(call), true);
+}
+
+void AbandonedCalls::add_unwatched(Call call, bool told_before) {
+  unwatched_.push_back({call.engine, std::move(call.over), call.since + kept_at_most, told_before});
+  if (unwatched_.size() > most_unwatched) unwatched_.pop_front();
+}
+
+void AbandonedCalls::engine_answered(const EngineId& engine) {
+  const std::lock_guard lock(mutex_);
+  if (unwatched_.empty()) return;
+  hurry(engine, clock_now() + takes_others_within);
+  changed_.raise();
+}
+
 Instant AbandonedCalls::next_look(Instant now) const {
   Instant next = now + look_every;
   for (const Unwatched& call : unwatched_) next = std::min(next, call.due);
--- a/src/front/abandoned_calls.hpp
+++ b/src/front/abandoned_calls.hpp
@@ -17,8 +17,9 @@
 
 class AbandonedCalls {
  public:
-  // Called once, on a thread of this object, when the engine has taken the call or ended its connection, or
-  // may have. `answered`: bytes have come.
+  // Called on a thread of this object when the engine has taken the call or ended its connection, or may
+  // have. `answered`: bytes have come; else it is called once more, a moment after the engine was next heard
+  // of.
   using Over = std::function<void(bool answered)>;
 
   // At most so many connections are kept. Of more, one is closed of the engine that has most of them, and the
@@ -26,6 +27,8 @@
   explicit AbandonedCalls(std::size_t most) : most_(most) {}
   ~AbandonedCalls();
   void keep(const EngineId& engine, http::ClientConnection connection, Over over);
+  // Another call was answered by that engine.
+  void engine_answered(const EngineId& engine);
   std::size_t connections() const;
   std::size_t count() const;  // of calls, those included whose connections were closed
 
@@ -41,10 +44,13 @@
     EngineId engine;
     Over over;
     Instant due;
+    bool told_before = false;
   };
   bool has_thread();
   void run();
   void make_room();
+  void tell(Call call);
+  void add_unwatched(Call call, bool told_before);
   std::list<Call>::iterator oldest_of_busiest_engine();
   std::list<Call> take_those_over();
   std::vector<Over> take_due(Instant now);
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -506,8 +506,10 @@
           p.knowledge.read(e->inf, *engine,
                            e->ending.kept_told ? std::optional<double>(e->ending.kept_tokens) : std::nullopt);
       }
-      if (const auto engine = p.cases.engine_of(e->inf, e->send); engine && e->ending.own_answer)
+      if (const auto engine = p.cases.engine_of(e->inf, e->send); engine && e->ending.own_answer) {
         p.cases.engine_answered(*engine, now - e->ending.took);
+        abandoned.engine_answered(*engine);
+      }
       event = p.cases.ended(now, e->inf, e->send, e->ending);
       about = e->inf;
     } else if (auto* l = std::get_if<PlaceSaid>(&r.what)) {
@@ -518,6 +520,7 @@
       p.cases.abandoned_call_taken(late->undo);
     } else if (const auto* answered = std::get_if<EngineAnswered>(&r.what)) {
       p.cases.engine_answered(answered->engine, answered->written);
+      abandoned.engine_answered(answered->engine);
     } else if (auto* g = std::get_if<Gone>(&r.what)) {
       event = p.cases.client_left(g->inf);
       about = g->inf;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -243,7 +243,11 @@
     if (reading || f.phase == Phase::Handing) back_to_queue(f);
   }
 
+  // The next read is not given up for the sake of a place. Where nothing tells a slow engine from one that
+  // does not run, that goes for all requests for a while.
   void give_up_reads(Inference& f) {
+    f.without_place = true;
+    if (!s_.may_probe) no_places_until_ = now_ + sample_life;
     for (Send& s : f.sends) {
       if (!s.out || !s.to_reader || s.cancelled) continue;
       f.failed_at.insert(s.engine);
@@ -336,7 +340,9 @@
   // A place has to be released before the limit unless the read is shown to be out: where engines can't be
   // probed only its end shows that, so that a long read gets none.
   bool place_outlasts_read(const Inference& f) {
+    if (f.without_place) return false;
     if (s_.may_probe || s_.pin_limit <= Span{}) return true;
+    if (now_ < no_places_until_) return false;
     const Send& read = f.sends.back();
     const double seconds = read.work / rate(engines_[read.engine].entry.kind) + unseen_wait_;
     return Span::from_seconds(seconds) < s_.pin_limit * release_due_part;
@@ -1069,7 +1075,7 @@
   int fronts_, careful_fronts_;  // the latter for cold engines
   std::mt19937 random_;
   Span smallest_target_;
-  Instant paces_at_;
+  Instant paces_at_, no_places_until_;
   std::optional<Instant> begun_at_, told_at_, asked_at_, budgets_end_;
   bool timer_set_ = false, asked_ = false, holding_ = false;
   double writers_wait_ = 0;  // what first tokens lately took after the read, within a rack
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -122,6 +122,7 @@
   Instant not_before;      // the next send, after one of those
   Instant place_asked;
   std::optional<Instant> no_sign_since;  // a send to an engine that gave no sign of running was made then
+  bool without_place = false;            // a read was given up for the sake of a place
   bool place_opens = false;              // there was no open connection for the place's question
   std::vector<Send> sends;
   std::set<EngineId> failed_at;
