Places are reserved from their asking on; a request's time counts from its arrival

Node.APlaceIsAskedForOnceTheReadIsWritten failed: the ledger's clock of a place ran from its order, though the question waits for the read's last byte, and that for a connection; it was released, and the read given up, before anything was asked.

Test: NodeFaults.ARequestsTimeCountsFromItsArrival...

--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -56,7 +56,8 @@
     const bool too_long = held > limit + on_top && !c.reserved.release_tried_since(*since);
     bool& told = too_long ? c.told_too_long : c.told_long;
     if (held <= limit * 0.5 || std::exchange(told, true)) continue;
-    out.push_back({c.id, held, too_long, c.reserved.count(), c.reserved.unwanted(), c.final != Final::None});
+    out.push_back({c.id, held, too_long, c.reserved.count(), c.reserved.unshown_reads().size(),
+                   c.reserved.unwanted(), c.final != Final::None});
   }
   return out;
 }
@@ -151,6 +152,10 @@
   return event;
 }
 
+void Cases::place_asked(const AskPlace& ask) {
+  if (Case* c = find(ask.inf)) c->reserved.place_asked(ask.number, now_);
+}
+
 std::optional<Event> Cases::place_answered(const AskPlace& ask, std::optional<bool> held) {
   Case* c = find(ask.inf);
   using Place = Reservations::PlaceAnswer;
@@ -267,14 +272,13 @@
   else orders_.push_back(std::move(order));
 }
 
-void Cases::act(Instant now, const HoldPlace& a, std::vector<Event>&) {
+void Cases::act(Instant, const HoldPlace& a, std::vector<Event>&) {
   Case* c = find(a.inf);
   if (!c || c->final != Final::None) return;
   release(*c, [](const Holding& h) { return h.place; });  // one place an inference
   const int number = c->places++;
   const std::string name = name_ + "." + std::to_string(a.inf) + ".p" + std::to_string(number);
   c->holdings.push_back({a.engine, name, {}, true});
-  c->reserved.place_asked(number, now);
   orders_.push_back(AskPlace{a.inf, a.engine, name, c->id.empty() ? name : c->id, number});
 }
 
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -122,6 +122,8 @@
   void release_ended(const Release& release, ReleaseEnd end);
   // A call that had been given up was taken by its engine all the same; `undo` releases what came of it.
   void abandoned_call_taken(const Release& undo);
+  // The question is about to be written; before that nothing can be held for it.
+  void place_asked(const AskPlace& ask);
   // `held` none: nobody can tell, and a place may be held all the same.
   std::optional<Event> place_answered(const AskPlace& ask, std::optional<bool> held);
   std::optional<Event> client_left(InfId inf);
@@ -156,10 +158,11 @@
   struct LongHold {
     std::string id;
     Span held;
-    bool too_long = false;        // longer than the limit and what is allowed on top
-    std::size_t holdings = 0;     // states and places that are remembered
-    bool to_be_released = false;  // something else may be held, and is let go with the next release
-    bool answered = false;        // the request has its final answer
+    bool too_long = false;          // longer than the limit and what is allowed on top
+    std::size_t holdings = 0;       // states and places that are remembered
+    std::size_t unshown_reads = 0;  // that are out, as far as is known
+    bool to_be_released = false;    // something else may be held, and is let go with the next release
+    bool answered = false;          // the request has its final answer
   };
   // By calls that come often; each request is told once as held long, and once as too long.
   std::vector<LongHold> long_holds(Instant now, Span limit, Span on_top);
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -108,6 +108,9 @@
   std::uint8_t send;
   Ending ending;
 };
+struct PlaceAsked {
+  AskPlace ask;
+};
 struct PlaceSaid {
   AskPlace ask;
   std::optional<bool> held;  // none = nobody can tell
@@ -146,8 +149,8 @@
 };
 struct Report {
   std::size_t pool = 0;
-  std::variant<Taken, Started, Ended, PlaceSaid, Released, TakenLate, EngineAnswered, Gone, Heard, CacheSaid,
-               Looked, Errand>
+  std::variant<Taken, Started, Ended, PlaceAsked, PlaceSaid, Released, TakenLate, EngineAnswered, Gone, Heard,
+               CacheSaid, Looked, Errand>
       what;
 };
 
@@ -313,6 +316,7 @@
                    {{"id", std::string_view(hold.id)},
                     {"held_ms", hold.held.as_millis()},
                     {"states_and_places", static_cast<std::int64_t>(hold.holdings)},
+                    {"unshown_reads", static_cast<std::int64_t>(hold.unshown_reads)},
                     {"to_be_released", std::int64_t{hold.to_be_released}},
                     {"answered", std::int64_t{hold.answered}}});
   }
@@ -512,6 +516,8 @@
       }
       event = p.cases.ended(now, e->inf, e->send, e->ending);
       about = e->inf;
+    } else if (const auto* asked = std::get_if<PlaceAsked>(&r.what)) {
+      p.cases.place_asked(asked->ask);
     } else if (auto* l = std::get_if<PlaceSaid>(&r.what)) {
       event = p.cases.place_answered(l->ask, l->held);
     } else if (const auto* released = std::get_if<Released>(&r.what)) {
@@ -1056,6 +1062,7 @@
         return queue.put({p.index, PlaceSaid{a, false}});
       }
       std::string text;
+      queue.put({p.index, PlaceAsked{a}});
       const auto head = exchange(p, a.engine, *at, *link, words, text, until);
       const auto held = head ? p.dialect->place_held(*head, text) : std::nullopt;
       // Its engine may take it yet, and grant a place that nobody waits for.
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -125,6 +125,7 @@
   stream_.set_deadline(by_whole(net::clock_now() + limits_.body, from, true));
   if (!parser.is_done()) bh::read(stream_, parts_->buffer, parser, ec);
   if (ec) return end_of();
+  out.received = net::clock_now() - stream_.received_ago().value_or(Span{});
   auto message = parser.release();
   out.method = std::string(message.method_string());
   out.target = std::string(message.target());
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -41,6 +41,7 @@
   std::string body;
   bool keep_alive = true;
   std::shared_ptr<void> room = {};  // of its body, where the server's is bounded
+  Instant received = {};  // its last byte, by this machine's kernel, where it may have lain for a while
 };
 
 struct Limits {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -20,6 +20,7 @@
 #include <boost/asio/error.hpp>
 #include <cerrno>
 #include <charconv>
+#include <cstddef>
 #include <cstring>
 #include <memory>
 #include <stdexcept>
@@ -277,6 +278,15 @@
   return waiting == 0;
 }
 
+std::optional<Span> Stream::received_ago() const {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (!fd_ || ::getsockopt(fd_.get(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  constexpr std::size_t needed = offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv;
+  if (size < needed) return std::nullopt;
+  return Span::millis(info.tcpi_last_data_recv);
+}
+
 bool Stream::ended() const {
   char next;
   const ssize_t n = ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -90,6 +90,8 @@
   bool peer_left() const;
   // Whether the other side's machine has acknowledged all that was written; none where the kernel can't tell.
   std::optional<bool> acknowledged() const;
+  // How long ago the last byte from the other side came to this machine; none where the kernel can't tell.
+  std::optional<Span> received_ago() const;
   std::size_t bytes_read() const { return bytes_read_; }
   std::size_t bytes_written() const { return bytes_written_; }
 
--- a/src/node/client_front.cpp
+++ b/src/node/client_front.cpp
@@ -83,7 +83,7 @@
     asked.prompt_tokens = w.prompt_tokens, asked.shared_tokens = w.shared_tokens;
     asked.max_answer_tokens = w.max_answer_tokens;
     asked.repeat = w.repeat, asked.resumed = w.resumed;
-    const Instant asked_until = now + w.budget;
+    const Instant asked_until = request.received + w.budget;
     asked.ends = asked_until;
     asked.key_taken = true;  // each try comes under an id of its own
     asked.passed = std::make_shared<const front::Passed>(w.id, request.method, request.target,
--- a/src/routing/evidence.hpp
+++ b/src/routing/evidence.hpp
@@ -25,6 +25,9 @@
 constexpr double unusual_first_token = 3;
 constexpr std::size_t first_tokens_needed = 8;
 
+// Pin limits: a read's answer that would be due later than that is not looked for.
+constexpr double late_read_limits = 2;
+
 struct SignWait {
   Span write_within, probe_after, call_off_after;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -839,7 +839,7 @@
     const bool usual = !to_reader || f.sends.back().work + f.what.prompt_tokens <= largest_read();
     const auto due = answer_due_after(seen.since(now_ - sample_life));
     // What a read has left, and a place, wait for no longer than from its end on: late is better than never.
-    const Span latest = to_reader ? s_.pin_limit : wait.call_off_after;
+    const Span latest = to_reader ? s_.pin_limit * late_read_limits : wait.call_off_after;
     if (usual && !only_one && due && *due < latest) order.answer_within = std::max(*due, wait.call_off_after);
     if (to_reader) return;
     order.reach = std::min(order.reach, wait.write_within);
--- a/tests/program/engine_signs_test.cpp
+++ b/tests/program/engine_signs_test.cpp
@@ -148,6 +148,21 @@
   EXPECT_EQ(answered, 0);
 }
 
+// Found by the soak (seed 3012): a proxy ended the connection, and the engine took the call half a second
+// later.
+TEST(AbandonedCalls, AnEndWithoutBytesIsToldOnceMoreAfterTheEnginesNextAnswer) {
+  StoppedEngine stopped;
+  std::atomic<int> over = 0;
+  AbandonedCalls calls(4);
+  calls.keep(engine(1), dial(stopped.address()), [&](bool) { ++over; });
+  stopped.listener.accept(clock_now() + Span::millis(2000));  // and closed at once
+  EXPECT_TRUE(until([&] { return over == 1; }));
+  EXPECT_EQ(calls.count(), 0u);
+  calls.engine_answered(engine(2));
+  calls.engine_answered(engine(1));
+  EXPECT_TRUE(until([&] { return over == 2; }));
+}
+
 // Found by the soak (seed 2001): more calls were given up at stopped engines than connections may be kept,
 // and what the engines held for the others once they went on was released by nobody.
 TEST(AbandonedCalls, ThoseOfWhichNoConnectionIsKeptAreUndoneOnceTheirEngineGoesOn) {
--- a/tests/program/node_faults_test.cpp
+++ b/tests/program/node_faults_test.cpp
@@ -1,6 +1,8 @@
 // A front node as a process of its own, under system calls that fail.
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "node_rig.hpp"
 
 namespace calicograde::node {
@@ -43,5 +45,30 @@
   EXPECT_TRUE(rig.all_let_go()) << rig.story();
 }
 
+// Found by the soak (seed 1145): a node that was held up told an engine to wait for longer than was left to
+// the client, whose request had lain in the node's kernel meanwhile.
+TEST(NodeFaults, ARequestsTimeCountsFromItsArrivalAtTheMachine) {
+  Rig rig(all_limits);
+  ASSERT_TRUE(rig.usual("d1"));
+  http::ClientConnection link(rig.dial());
+  constexpr int timeout_ms = 5000, held_up_ms = 700;
+  ASSERT_EQ(kill(rig.pid, SIGSTOP), 0);
+  std::thread goes_on([&] {
+    usleep(held_up_ms * 1000);
+    kill(rig.pid, SIGCONT);
+  });
+  const auto reply = Rig::ask_on(link, "d2", timeout_ms);
+  goes_on.join();
+  EXPECT_EQ(reply.status, 200) << rig.text();
+  int attempts = 0;
+  for (const auto& asked : rig.hall.all()) {
+    const std::string told = http::header(asked.headers, "request-timeout-ms");
+    if (asked.id != "d2" || told.empty()) continue;
+    ++attempts;
+    EXPECT_LE(std::stoi(told), timeout_ms - held_up_ms + 50) << asked.engine;
+  }
+  EXPECT_GE(attempts, 2);
+}
+
 }  // namespace
 }  // namespace calicograde::node
