A stream's end is no answer to a call that was written just then

By reading: Core::take told the ledger of every end with an answer that a call had been answered which was written `took` before. Streams end in their clients' threads, with no time taken, so that each end looked like the answer to a call of that very moment, and would have shown reads to be out at engines of a mixed kind. Only attempts that ended on their own thread count now. No test of its own: the stand-ins have no mixed kind.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -75,6 +75,10 @@
   }
 }
 
+// Its engine has answered it, and it is known when it was written: not so of streams, which end in another
+// thread.
+bool tells_when_written(const Ending& ending) { return ending.own_answer && ending.link_uses > 0; }
+
 bool tells_of_engine(EndedAs as) {
   return as != EndedAs::Cancelled && as != EndedAs::Moot && as != EndedAs::LocalFailure;
 }
@@ -510,7 +514,7 @@
           p.knowledge.read(e->inf, *engine,
                            e->ending.kept_told ? std::optional<double>(e->ending.kept_tokens) : std::nullopt);
       }
-      if (const auto engine = p.cases.engine_of(e->inf, e->send); engine && e->ending.own_answer) {
+      if (const auto engine = p.cases.engine_of(e->inf, e->send); engine && tells_when_written(e->ending)) {
         p.cases.engine_answered(*engine, now - e->ending.took);
         abandoned.engine_answered(*engine);
       }
