--- a/tests/program/node_faults_test.cpp
+++ b/tests/program/node_faults_test.cpp
@@ -62,7 +62,7 @@
   EXPECT_EQ(reply.status, 200) << rig.text();
   int attempts = 0;
   for (const auto& asked : rig.hall.all()) {
-    const std::string told = http::header(asked.headers, "request-timeout-ms");
+    const std::string told(http::header(asked.headers, "request-timeout-ms"));
     if (asked.id != "d2" || told.empty()) continue;
     ++attempts;
     EXPECT_LE(std::stoi(told), timeout_ms - held_up_ms + 50) << asked.engine;
