A read is shown to be out only by calls that were written after it, not after its order

By reading: engine_answered compared a later call with the order of a read. A connection may take 0.25 s and more to come up, so that a call which its engine answered could lie between the order and the write of the read, and would have stopped the clock of its place: evidence about one thing taken for another once more. The place is asked for once the read is written; that moment is the read's now, and a read for which no place was asked is never shown.

--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -153,7 +153,12 @@
 }
 
 void Cases::place_asked(const AskPlace& ask) {
-  if (Case* c = find(ask.inf)) c->reserved.place_asked(ask.number, now_);
+  Case* c = find(ask.inf);
+  if (!c) return;
+  c->reserved.place_asked(ask.number, now_);
+  if (ask.read >= c->sends.size()) return;
+  Sent& read = c->sends[ask.read];
+  if (!read.written_before) read.written_before = now_;
 }
 
 std::optional<Event> Cases::place_answered(const AskPlace& ask, std::optional<bool> held) {
@@ -272,6 +277,10 @@
   else orders_.push_back(std::move(order));
 }
 
+std::uint8_t Cases::newest_send(const Case& c) {
+  return static_cast<std::uint8_t>(c.sends.empty() ? 0 : c.sends.size() - 1);
+}
+
 void Cases::act(Instant, const HoldPlace& a, std::vector<Event>&) {
   Case* c = find(a.inf);
   if (!c || c->final != Final::None) return;
@@ -279,7 +288,7 @@
   const int number = c->places++;
   const std::string name = name_ + "." + std::to_string(a.inf) + ".p" + std::to_string(number);
   c->holdings.push_back({a.engine, name, {}, true});
-  orders_.push_back(AskPlace{a.inf, a.engine, name, c->id.empty() ? name : c->id, number});
+  orders_.push_back(AskPlace{a.inf, a.engine, name, c->id.empty() ? name : c->id, number, newest_send(*c)});
 }
 
 void Cases::act(Instant now, const LetGo& a, std::vector<Event>&) {
@@ -401,7 +410,8 @@
   for (auto& [inf, c] : cases_)
     for (const int read : c.reserved.unshown_reads()) {
       const Sent& s = c.sends[static_cast<std::size_t>(read)];
-      if (s.engine == engine && s.at + calls_overtake_within < written) c.reserved.read_shown(read);
+      const bool before = s.written_before && *s.written_before + calls_overtake_within < written;
+      if (before && s.engine == engine) c.reserved.read_shown(read);
     }
 }
 
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -46,6 +46,7 @@
   std::string name;
   std::string let_go_as;  // by this name it is let go
   int number = 0;         // of the places that were asked for on behalf of the inference
+  std::uint8_t read = 0;  // that it belongs to: it has been written when the place is asked for
 };
 struct Release {
   InfId inf = 0;
@@ -139,7 +140,7 @@
   // to be released. When the next look is due.
   void look_at_reservations(Instant now, std::vector<Event>& events);
   std::optional<Instant> next_look_at_reservations() const;
-  // The engine has answered a call that was written then: it has begun what was ordered before.
+  // The engine has answered a call that was written then: it has begun what was written before.
   void engine_answered(const EngineId& engine, Instant written);
   // All budgets end then at the latest, also of what comes later.
   void end_budgets(Instant at);
@@ -182,6 +183,7 @@
     bool out = true, started = false, ran = true;
     std::string name;
     bool unrun = false, gave_state = false;  // of one that has ended: proven; it was a read and ended well
+    std::optional<Instant> written_before = {};  // of a read with a place
   };
   enum class Final { None, Streaming, Given };
   struct Case {
@@ -220,6 +222,7 @@
   void probe_engines_of(Case& c, Instant now);
   void end_named_releases(Case& c);
   static bool streams(const Case& c);
+  static std::uint8_t newest_send(const Case& c);
   template <class Which>
   void release(Case& c, Which which);
   void settle(InfId inf);
--- a/tests/program/cases_test.cpp
+++ b/tests/program/cases_test.cpp
@@ -367,19 +367,21 @@
     c.obey(t, {SendTo{7, eng(1), {}}, HoldPlace{7, eng(2)}}, events);
     const auto place = std::get<AskPlace>(c.take_orders().at(1));
     EXPECT_FALSE(c.next_look_at_reservations());  // it has not been asked for yet
+    c.engine_answered(eng(1), t + ms(200));       // nor is the read known to be written
+    c.at(t + ms(200));
     c.place_asked(place);
     c.place_answered(place, true);
-    c.engine_answered(eng(1), t);  // a call that was written no later
-    c.engine_answered(eng(2), t + ms(100));
-    if (shown) c.engine_answered(eng(1), t + ms(100));
-    c.look_at_reservations(t + ms(239), events);
+    c.engine_answered(eng(1), t + ms(210));  // a call that was written about then
+    c.engine_answered(eng(2), t + ms(300));
+    if (shown) c.engine_answered(eng(1), t + ms(300));
+    c.look_at_reservations(t + ms(439), events);
     EXPECT_TRUE(events.empty());
     EXPECT_EQ(c.next_look_at_reservations().has_value(), !shown);
-    c.look_at_reservations(t + ms(240), events);
+    c.look_at_reservations(t + ms(440), events);
     ASSERT_EQ(events.size(), shown ? 0u : 1u);
     if (shown) continue;
     EXPECT_EQ(std::get<ReservationsDue>(events[0]).inf, 7u);
-    c.obey(t + ms(240), {LetGo{.inf = 7, .at_once = true, .though_awaited = true}}, events);
+    c.obey(t + ms(440), {LetGo{.inf = 7, .at_once = true, .though_awaited = true}}, events);
     const auto release = released(c);
     ASSERT_TRUE(release);
     EXPECT_EQ(release->reserved_for, ms(240));
