Failing tests: a release under an attempt, and ends that arrive late or never

State held for requests whose last call was taken by one decode engine and given up there without a first token was neither taken nor released.

--- a/src/soak/engine_channel.hpp
+++ b/src/soak/engine_channel.hpp
@@ -25,8 +25,9 @@
     AttemptEnded,
     ReadEnded,  // its answer has been written
     Hold,
-    GrantPlace,  // answered with 1 where it is granted
-    Fetch,       // for the attempt `number`; answered with 1 where there was a state
+    GrantPlace,    // answered with 1 where it is granted
+    AttemptWaits,  // the attempt `number`, for the state; answered with 1 where there is one
+    FirstToken,    // of the attempt `number`
     Release
   };
   Kind kind = Kind::Listening;
@@ -46,12 +47,16 @@
 struct EngineCommand {
   enum class Fault : std::uint8_t {
     Hang,
+    HangAttempts,  // it answers no attempt, and everything else
     CutAnswers,
     DoubleAnswers,
     Busy,
-    LateNotice,   // it does not notice that a read was given up before the read is over
-    TakesLate,    // it begins a request `millis` after its machine has it
-    TakesNothing  // its streams go on, and it begins no request
+    LateNotice,    // it does not notice that a read was given up before the read is over
+    TakesLate,     // it begins a request `millis` after its machine has it
+    TakesNothing,  // its streams go on, and it begins no request
+    EndsLate,      // it hears that an attempt was given up `millis` after its machine has
+    QuietEnds,     // it leaves the connection of an attempt that was given up open
+    DropsAtTime    // it drops an attempt without a word once the wait that it was told is over
   };
   Fault fault = Fault::Hang;
   bool on = false;
--- a/src/soak/engine_process.cpp
+++ b/src/soak/engine_process.cpp
@@ -114,6 +114,7 @@
     case Kind::AttemptEnded: {
       const bool fetched = open_[call.number].fetched;
       end_read(call.number);
+      held_.attempt_ends(id, call.number);
       open_.erase(call.number);
       journal_.add(AttemptEnded{id, call.number, at, fetched,
                                 call.has_stream ? stream_of(call.number) : std::string(), call.broken,
@@ -123,11 +124,12 @@
     case Kind::ReadEnded: end_read(call.number); return 0;
     case Kind::Hold: held_.hold(id, number_); return 0;
     case Kind::GrantPlace: return held_.ask_place(id, number_);
-    case Kind::Fetch: {
-      const bool fetched = held_.fetch(id);
-      open_[call.number].fetched = fetched;  // from here on it may have had its effect
-      return fetched;
+    case Kind::AttemptWaits: {
+      const bool has_state = held_.attempt_begins(id, number_, call.number);
+      open_[call.number].fetched = has_state;  // from here on it may have had its effect
+      return has_state;
     }
+    case Kind::FirstToken: held_.first_token(id); return 0;
     case Kind::Release: held_.release(id); return 0;
   }
   return 0;
@@ -142,6 +144,7 @@
 void EngineProcess::end_all_attempts() {
   for (const auto& [number, attempt] : open_) {
     end_read(number);
+    held_.attempt_ends(attempt.id, number);
     journal_.add(AttemptEnded{attempt.id, number, clock_now(), attempt.fetched,
                               attempt.fetched ? stream_of(number) : std::string(), true});
   }
--- a/src/soak/engines.cpp
+++ b/src/soak/engines.cpp
@@ -17,6 +17,7 @@
 constexpr Span read_time = Span::millis(25), first_token_time = Span::millis(20),
                event_time = Span::millis(6), first_token_when_busy = Span::millis(450),
                unknown_place_after = Span::millis(300);  // by the protocol page
+constexpr Span quiet_end_lasts = Span::millis(3000);
 constexpr std::uint64_t one_in_cut = 3;
 
 std::int64_t micros_now() { return (clock_now() - Instant{}).as_micros(); }
@@ -27,7 +28,8 @@
   Attempt(SoakEngine& of, const http::Request& request, Instant received)
       : engine(of),
         id(http::header(request.headers, "request-id")),
-        number(begin(of, id, request, received)) {}
+        number(begin(of, id, request, received)),
+        told_until(told_wait_end(request, received)) {}
   static std::uint64_t begin(SoakEngine& engine, const std::string& id, const http::Request& request,
                              Instant received) {
     EngineCall begins;
@@ -38,6 +40,11 @@
     if (!told.empty()) begins.told_wait_millis = std::atoll(told.c_str());
     return engine.channel_.call(begins);
   }
+  static std::optional<Instant> told_wait_end(const http::Request& request, Instant received) {
+    const std::string told(http::header(request.headers, "request-timeout-ms"));
+    if (told.empty()) return std::nullopt;
+    return received + Span::millis(std::atoll(told.c_str()));
+  }
   void event_written() {
     if (events < events_each) event_micros[static_cast<std::size_t>(events++)] = micros_now();
   }
@@ -55,7 +62,9 @@
   SoakEngine& engine;
   const std::string id;
   const std::uint64_t number;
-  bool has_stream = false, broken = false;
+  const std::optional<Instant> told_until;
+  std::optional<Instant> left_at;  // when the end came to the engine's machine
+  bool has_stream = false, first_token = false, broken = false;
   int events = 0;  // written
   std::array<std::int64_t, events_each> event_micros{};
 };
@@ -74,17 +83,51 @@
     case EngineCommand::Fault::LateNotice: late_notice_ = command.on; break;
     case EngineCommand::Fault::TakesLate: takes_late_millis_ = command.millis; break;
     case EngineCommand::Fault::TakesNothing: takes_nothing_ = command.on; break;
+    case EngineCommand::Fault::HangAttempts: hanging_on_attempts_ = command.on; break;
+    case EngineCommand::Fault::EndsLate: ends_late_millis_ = command.millis; break;
+    case EngineCommand::Fault::QuietEnds: quiet_ends_ = command.on; break;
+    case EngineCommand::Fault::DropsAtTime: drops_at_time_ = command.on; break;
   }
 }
 
 bool SoakEngine::work(http::ServerConnection& connection, Span time, bool notices_leaving) const {
-  for (const Instant until = clock_now() + time; clock_now() < until || hanging_;) {
+  return work_while(connection, time, notices_leaving, [this] { return hanging_.load(); });
+}
+
+bool SoakEngine::work_while(http::ServerConnection& connection, Span time, bool notices_leaving,
+                            const std::function<bool()>& hangs) const {
+  for (const Instant until = clock_now() + time; clock_now() < until || hangs();) {
     if (stopping_ || (notices_leaving && connection.stream().peer_left())) return false;
     usleep(static_cast<useconds_t>(step.as_micros()));
   }
   return !notices_leaving || !connection.stream().peer_left();
 }
 
+// "An end, too, has happened there only once it got there": the front node's close is not the end.
+bool SoakEngine::end_is_heard(Attempt& attempt, http::ServerConnection& connection) const {
+  const Instant now = clock_now();
+  if (!attempt.left_at && connection.stream().peer_left()) attempt.left_at = now;
+  return attempt.left_at && now - *attempt.left_at >= Span::millis(ends_late_millis_.load());
+}
+
+bool SoakEngine::work_on_answer(Attempt& attempt, http::ServerConnection& connection, Span time) const {
+  for (const Instant until = clock_now() + time; clock_now() < until || hangs_on_attempts();) {
+    if (stopping_ || end_is_heard(attempt, connection)) return false;
+    const bool time_is_over = attempt.told_until && clock_now() > *attempt.told_until;
+    if (drops_at_time_ && !attempt.first_token && time_is_over) return false;
+    usleep(static_cast<useconds_t>(step.as_micros()));
+  }
+  return !end_is_heard(attempt, connection);
+}
+
+// No sentence says that an engine closes the connection of an attempt that was given up.
+void SoakEngine::stay_open(http::ServerConnection& connection) const {
+  for (const Instant until = clock_now() + quiet_end_lasts; quiet_ends_ && clock_now() < until;) {
+    if (stopping_ || !connection.stream().open()) return;
+    usleep(static_cast<useconds_t>(step.as_micros()));
+  }
+}
+
 // "A call counts once its last byte has come to an engine that runs": no sentence says how soon that is after
 // the kernel's acknowledgement.
 void SoakEngine::take_late() const {
@@ -127,13 +170,20 @@
                                Instant received) {
   // Given up before it reached an engine that runs.
   const bool notices_leaving = !late_notice_ || role_ == Role::Decode;
-  if (notices_leaving && connection.stream().peer_left()) return false;
-  Attempt attempt(*this, request, received);
-  return role_ == Role::Prefill ? read_prompt(attempt, connection) : write_answer(attempt, connection);
+  const bool hears_at_once = role_ == Role::Prefill || ends_late_millis_ == 0;
+  if (notices_leaving && hears_at_once && connection.stream().peer_left()) return false;
+  bool goes_on = false, was_given_up = false;
+  {
+    Attempt attempt(*this, request, received);
+    goes_on = role_ == Role::Prefill ? read_prompt(attempt, connection) : write_answer(attempt, connection);
+    was_given_up = attempt.left_at.has_value();
+  }
+  if (was_given_up) stay_open(connection);
+  return goes_on;
 }
 
 bool SoakEngine::read_prompt(Attempt& attempt, http::ServerConnection& connection) {
-  if (!work(connection, read_time, !late_notice_)) return false;
+  if (!work_while(connection, read_time, !late_notice_, [this] { return hangs_on_attempts(); })) return false;
   channel_.call(Kind::Hold, attempt.id);
   if (cutting_ && attempt.number % one_in_cut == 0) return connection.stream().reset_hard(), false;
   // Once the answer is out no place is granted for this read any more.
@@ -144,17 +194,19 @@
 }
 
 bool SoakEngine::write_answer(Attempt& attempt, http::ServerConnection& connection) {
-  if (channel_.call(Kind::Fetch, attempt.id, attempt.number) == 0) {
-    if (!work(connection, Span{})) return false;
+  if (channel_.call(Kind::AttemptWaits, attempt.id, attempt.number) == 0) {
+    if (!work_on_answer(attempt, connection, Span{})) return false;
     return connection.respond(410, {{"Not-Started", "1"}}, "", true);
   }
   attempt.has_stream = true;
   const bool cut = cutting_ && attempt.number % one_in_cut == 0;
-  if (!work(connection, busy_ ? first_token_when_busy : first_token_time)) return false;
+  if (!work_on_answer(attempt, connection, busy_ ? first_token_when_busy : first_token_time)) return false;
   if (cut && attempt.number % 2 == 0) return attempt.broken = true, connection.stream().reset_hard(), false;
+  channel_.call(Kind::FirstToken, attempt.id, attempt.number);
+  attempt.first_token = true;
   if (!connection.begin_stream(200, {{"content-type", "text/event-stream"}})) return false;
   for (int k = 0; k < events_each; ++k) {
-    if (!work(connection, event_time)) return false;
+    if (!work_on_answer(attempt, connection, event_time)) return false;
     if (cut && k == events_each / 2) return attempt.broken = true, connection.stream().reset_hard(), false;
     if (!connection.piece(event_of(attempt.number, k))) return false;
     attempt.event_written();
--- a/src/soak/engines.hpp
+++ b/src/soak/engines.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <string>
 
 #include "lab/platform_standin.hpp"
@@ -29,12 +30,20 @@
   bool write_answer(Attempt& attempt, http::ServerConnection& connection);
   // Until the time has passed and the engine does not hang; false where the other side has left meanwhile.
   bool work(http::ServerConnection& connection, Span time, bool notices_leaving = true) const;
+  bool work_while(http::ServerConnection& connection, Span time, bool notices_leaving,
+                  const std::function<bool()>& hangs) const;
+  bool hangs_on_attempts() const { return hanging_ || hanging_on_attempts_; }
+  // The same for a decode attempt, whose end the engine may hear late, and which may run out of time.
+  bool work_on_answer(Attempt& attempt, http::ServerConnection& connection, Span time) const;
+  bool end_is_heard(Attempt& attempt, http::ServerConnection& connection) const;
+  void stay_open(http::ServerConnection& connection) const;
 
   const Role role_;
   EngineChannel& channel_;
   std::atomic<bool> hanging_ = false, cutting_ = false, doubling_ = false, busy_ = false,
-                    late_notice_ = false, takes_nothing_ = false, stopping_ = false;
-  std::atomic<int> takes_late_millis_ = 0;
+                    late_notice_ = false, takes_nothing_ = false, hanging_on_attempts_ = false,
+                    quiet_ends_ = false, drops_at_time_ = false, stopping_ = false;
+  std::atomic<int> takes_late_millis_ = 0, ends_late_millis_ = 0;
   lab::LoopbackServer server_;
 };
 
--- a/src/soak/held_state.cpp
+++ b/src/soak/held_state.cpp
@@ -1,5 +1,7 @@
 #include "soak/held_state.hpp"
 
+#include <algorithm>
+
 #include "net/clock.hpp"
 
 namespace calicograde::soak {
@@ -16,44 +18,88 @@
   if (const auto it = reading_.find(id); it != reading_.end()) reading_.erase(it);
 }
 
+// The journal counts engines at which something is held, not how much.
+void HeldState::hold_at(const std::string& id, std::set<std::size_t>& which, std::size_t engine) {
+  const bool before = held_[id].holds_at(engine);
+  which.insert(engine);
+  if (!before) journal_.add(HoldBegan{id, engine, clock_now()});
+}
+
+void HeldState::drop_at(const std::string& id, std::set<std::size_t>& which, std::size_t engine) {
+  which.erase(engine);
+  if (!held_[id].holds_at(engine)) journal_.add(HoldEnded{id, engine, clock_now()});
+}
+
+void HeldState::tidy(const std::string& id) {
+  if (held_[id].empty()) held_.erase(id);
+}
+
 void HeldState::hold(const std::string& id, std::size_t engine) {
   const std::lock_guard lock(mutex_);
-  states_.insert(id);
-  if (held_[id].insert(engine).second) journal_.add(HoldBegan{id, engine, clock_now()});
+  hold_at(id, held_[id].states, engine);
 }
 
 bool HeldState::ask_place(const std::string& id, std::size_t engine) {
   const std::lock_guard lock(mutex_);
   if (place_answers_ == PlaceAnswers::WhileReading && !reading_.contains(id)) return false;
-  if (held_[id].insert(engine).second) journal_.add(HoldBegan{id, engine, clock_now()});
+  hold_at(id, held_[id].places, engine);
   return place_answers_ != PlaceAnswers::HeldUnknown;
 }
 
-void HeldState::drop(std::map<std::string, std::set<std::size_t>>::iterator held) {
-  for (const std::size_t engine : held->second) journal_.add(HoldEnded{held->first, engine, clock_now()});
-  held_.erase(held);
+bool HeldState::attempt_begins(const std::string& id, std::size_t engine, std::uint64_t attempt) {
+  const std::lock_guard lock(mutex_);
+  const auto it = held_.find(id);
+  if (it == held_.end() || it->second.states.empty()) return false;
+  it->second.attempts[attempt] = engine;
+  return true;
 }
 
-bool HeldState::fetch(const std::string& id) {
+// "`FirstByte` releases the rest."
+void HeldState::first_token(const std::string& id) {
   const std::lock_guard lock(mutex_);
-  if (states_.erase(id) == 0) return false;
-  if (const auto it = held_.find(id); it != held_.end()) drop(it);
-  return true;
+  const auto it = held_.find(id);
+  if (it == held_.end()) return;
+  Held& held = it->second;
+  while (!held.states.empty()) drop_at(id, held.states, *held.states.begin());
+  while (!held.places.empty()) drop_at(id, held.places, *held.places.begin());
+  tidy(id);
+}
+
+void HeldState::attempt_ends(const std::string& id, std::uint64_t attempt) {
+  const std::lock_guard lock(mutex_);
+  const auto it = held_.find(id);
+  if (it == held_.end()) return;
+  it->second.attempts.erase(attempt);
+  tidy(id);
 }
 
+// "This lets go of every state and place that is held for the request and that no attempt waits for."
 void HeldState::release(const std::string& id) {
   const std::lock_guard lock(mutex_);
-  states_.erase(id);
-  if (const auto it = held_.find(id); it != held_.end()) drop(it);
+  const auto it = held_.find(id);
+  if (it == held_.end()) return;
+  Held& held = it->second;
+  const auto waited_for_at = [&](std::size_t engine) {
+    return std::any_of(held.attempts.begin(), held.attempts.end(),
+                       [&](const auto& attempt) { return attempt.second == engine; });
+  };
+  const std::set<std::size_t> places = held.places;
+  for (const std::size_t engine : places)
+    if (!waited_for_at(engine)) drop_at(id, held.places, engine);
+  while (held.attempts.empty() && !held.states.empty()) drop_at(id, held.states, *held.states.begin());
+  tidy(id);
 }
 
 void HeldState::forget_engine(std::size_t engine) {
   const std::lock_guard lock(mutex_);
-  for (auto it = held_.begin(); it != held_.end();) {
-    const auto here = it++;
-    if (here->second.erase(engine) == 0) continue;
-    journal_.add(HoldEnded{here->first, engine, clock_now()});
-    if (here->second.empty()) states_.erase(here->first), held_.erase(here);
+  std::set<std::string> ids;
+  for (const auto& [id, held] : held_)
+    if (held.holds_at(engine)) ids.insert(id);
+  for (const std::string& id : ids) {
+    Held& held = held_[id];
+    if (held.states.contains(engine)) drop_at(id, held.states, engine);
+    if (held.places.contains(engine)) drop_at(id, held.places, engine);
+    tidy(id);
   }
 }
 
--- a/src/soak/run_settings.cpp
+++ b/src/soak/run_settings.cpp
@@ -70,15 +70,17 @@
 }
 
 std::string RunSettings::text() const {
-  char out[400];
+  char out[512];
   std::snprintf(
       out, sizeof out,
       "give up %.0f ms, pin %.0f, grace %.0f, window %.0f, classes %s %s %s, places %s, probes %s, "
-      "cancelling %s, copies %s, attempts %d, proxied %s, late notice %s, granted %s, taken after %.0f ms",
+      "cancelling %s, copies %s, attempts %d, proxied %s, late notice %s, granted %s, taken after %.0f ms, "
+      "ends heard after %.0f ms, quiet ends %s, drops at time %s, hangs on attempts alone %s",
       give_up.as_millis(), pin_limit.as_millis(), drain_grace.as_millis(), dedupe_window.as_millis(),
       name_of(effects[0]), name_of(effects[1]), name_of(effects[2]), name_of(holds_places), name_of(probes),
       name_of(cancelling), name_of(second_copies), max_attempts, name_of(proxied), name_of(late_notice),
-      name_of(place_answers), takes_late.as_millis());
+      name_of(place_answers), takes_late.as_millis(), ends_late.as_millis(), name_of(quiet_ends),
+      name_of(drops_at_time), name_of(hangs_on_attempts));
   return out;
 }
 
@@ -104,6 +106,10 @@
   s.late_notice = likely(4);
   s.place_answers = static_cast<PlaceAnswers>(one_of({0, 1, 1, 2}));
   s.takes_late = Span::millis(one_of({0, 0, 20, 60, 150}));
+  s.ends_late = Span::millis(one_of({0, 0, 5, 50, 200}));
+  s.quiet_ends = likely(3);
+  s.drops_at_time = likely(5);
+  s.hangs_on_attempts = likely(5);
   return s;
 }
 
--- a/src/soak/run_settings.hpp
+++ b/src/soak/run_settings.hpp
@@ -29,8 +29,12 @@
   int max_attempts = 6;
   bool proxied = false;  // a fault proxy stands before the engines
   PlaceAnswers place_answers = PlaceAnswers::WhileReading;
-  Span takes_late;           // an engine begins a request so long after its machine has it
-  bool late_notice = false;  // prefill engines do not notice that a read was given up before it is over
+  Span takes_late;             // an engine begins a request so long after its machine has it
+  bool late_notice = false;    // prefill engines do not notice that a read was given up before it is over
+  Span ends_late;              // decode engines hear so late that an attempt was given up
+  bool quiet_ends = false;     // and then leave its connection open
+  bool drops_at_time = false;  // they drop attempts without a word once the wait that they were told is over
+  bool hangs_on_attempts = false;  // engines that hang answer probes, releases and places all the same
 
   // How long after SIGTERM a node may be killed, by the protocol page.
   Span kill_after_sigterm() const;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -202,7 +202,9 @@
       case Trouble::WatchReset:
         if (begins) site.agent().reset_watches();
         break;
-      case Trouble::EngineHang: engine.set(Fault::Hang, begins); break;
+      case Trouble::EngineHang:
+        engine.set(settings_.hangs_on_attempts ? Fault::HangAttempts : Fault::Hang, begins);
+        break;
       case Trouble::EngineBusy: engine.set(Fault::Busy, begins); break;
       case Trouble::EngineTakesNothing: engine.set(Fault::TakesNothing, begins); break;
       case Trouble::LinkFaults: strike_links(w, begins); break;
@@ -231,6 +233,11 @@
     engine.set(Fault::LateNotice, settings_.late_notice);
     const int late = static_cast<int>(settings_.takes_late.as_millis());
     engine.set(Fault::TakesLate, late > 0, late);
+    if (engine.role() != Role::Decode) return;
+    const int ends_late = static_cast<int>(settings_.ends_late.as_millis());
+    engine.set(Fault::EndsLate, ends_late > 0, ends_late);
+    engine.set(Fault::QuietEnds, settings_.quiet_ends);
+    engine.set(Fault::DropsAtTime, settings_.drops_at_time);
   }
 
   static void stop(EngineProcess& engine, bool on) { on ? engine.stop() : engine.go_on(); }
--- a/tests/program/stopped_engines_test.cpp
+++ b/tests/program/stopped_engines_test.cpp
@@ -2,52 +2,27 @@
 // bytes for them, and they take nothing. All as processes of their own; judged by what the engines took.
 #include <gtest/gtest.h>
 
-#include "soak/soak.hpp"
+#include "soak_rig.hpp"
 
 namespace calicograde::soak {
 namespace {
 
-constexpr std::size_t prefill_engines = 4, decode_engines = 5;
-constexpr std::size_t a_prefill_engine = 0, a_decode_engine = prefill_engines;
-
-Options options() {
-  Options out;
-  out.daemon = CALICOGRADED;
-  out.engine_program = CALICOGRADE_SOAK;
-  out.nodes = 3;
-  out.prefill_engines = prefill_engines;
-  out.decode_engines = decode_engines;
-  out.clients_each = 6;
-  out.length = Span::millis(6500);
-  return out;
-}
-
-Result play(std::uint64_t seed, std::vector<Window> windows, const RunSettings& settings = {}) {
-  Options o = options();
-  o.settings = settings;
-  return run(Schedule{seed, o.nodes, o.prefill_engines + o.decode_engines, o.length, std::move(windows)}, o);
-}
-
-Window stop(Trouble trouble, int from_ms, int length_ms, std::size_t engine) {
-  return {trouble, Span::millis(from_ms), Span::millis(length_ms), 0, engine};
-}
-
 TEST(StoppedEngines, WhatIsHeldIsUsedOrLetGoWhileFourOfFiveDecodeEnginesAreStopped) {
-  const Result result = play(9101, {stop(Trouble::RoleStop, 1200, 1800, a_decode_engine),
-                                    stop(Trouble::RoleStop, 4200, 1500, a_decode_engine + 1)});
+  const Result result = play(9101, {trouble_at(Trouble::RoleStop, 1200, 1800, a_decode_engine),
+                                    trouble_at(Trouble::RoleStop, 4200, 1500, a_decode_engine + 1)});
   EXPECT_TRUE(result.passed) << result.report;
   EXPECT_GT(result.called_off, 0u);  // so that the figure is one
 }
 
 TEST(StoppedEngines, WhatIsHeldIsUsedOrLetGoWhileThreeOfFourPrefillEnginesAreStopped) {
-  const Result result = play(9301, {stop(Trouble::RoleStop, 1200, 1800, a_prefill_engine),
-                                    stop(Trouble::RoleStop, 4200, 1500, a_prefill_engine + 1)});
+  const Result result = play(9301, {trouble_at(Trouble::RoleStop, 1200, 1800, a_prefill_engine),
+                                    trouble_at(Trouble::RoleStop, 4200, 1500, a_prefill_engine + 1)});
   EXPECT_TRUE(result.passed) << result.report;
 }
 
 TEST(StoppedEngines, WhatIsHeldIsUsedOrLetGoWhileAllDecodeEnginesAreStopped) {
-  const Result result = play(9501, {stop(Trouble::RoleStop, 1200, 1500, a_decode_engine),
-                                    stop(Trouble::EngineStop, 1200, 1500, a_decode_engine)});
+  const Result result = play(9501, {trouble_at(Trouble::RoleStop, 1200, 1500, a_decode_engine),
+                                    trouble_at(Trouble::EngineStop, 1200, 1500, a_decode_engine)});
   EXPECT_TRUE(result.passed) << result.report;
 }
 
@@ -58,9 +33,9 @@
   settings.late_notice = true;
   settings.give_up = Span::millis(900);
   settings.second_copies = false;
-  std::vector<Window> windows{stop(Trouble::RoleStop, 1200, 1800, a_prefill_engine),
-                              stop(Trouble::EngineStop, 1200, 1800, a_prefill_engine),
-                              stop(Trouble::RoleStop, 4000, 1200, a_prefill_engine + 1)};
+  std::vector<Window> windows{trouble_at(Trouble::RoleStop, 1200, 1800, a_prefill_engine),
+                              trouble_at(Trouble::EngineStop, 1200, 1800, a_prefill_engine),
+                              trouble_at(Trouble::RoleStop, 4000, 1200, a_prefill_engine + 1)};
   for (std::size_t node = 0; node < 3; ++node)
     windows.push_back({Trouble::ClientLeaves, Span::millis(1000), Span::millis(4500), node, 0});
   const Result result = play(9311, windows, settings);
@@ -73,9 +48,9 @@
   RunSettings settings;
   settings.place_answers = PlaceAnswers::Always;
   const Result result = play(9801,
-                             {stop(Trouble::RoleStop, 1200, 1800, a_prefill_engine),
-                              stop(Trouble::EngineStop, 1200, 1500, a_prefill_engine),
-                              stop(Trouble::RoleStop, 4200, 1500, a_prefill_engine + 1)},
+                             {trouble_at(Trouble::RoleStop, 1200, 1800, a_prefill_engine),
+                              trouble_at(Trouble::EngineStop, 1200, 1500, a_prefill_engine),
+                              trouble_at(Trouble::RoleStop, 4200, 1500, a_prefill_engine + 1)},
                              settings);
   EXPECT_TRUE(result.passed) << result.report;
 }
@@ -87,7 +62,7 @@
   std::vector<Window> windows;
   for (int k = 0; k < 5; ++k) {
     const auto engine = a_decode_engine + static_cast<std::size_t>(k);
-    windows.push_back(stop(Trouble::RoleStop, 1000 + k * 900, 180 + k * 40, engine));
+    windows.push_back(trouble_at(Trouble::RoleStop, 1000 + k * 900, 180 + k * 40, engine));
   }
   const Result result = play(9811, windows, settings);
   EXPECT_TRUE(result.passed) << result.report;
@@ -97,7 +72,7 @@
 TEST(StoppedEngines, PlacesThatNobodyCanTellOfAreLetGo) {
   RunSettings settings;
   settings.place_answers = PlaceAnswers::HeldUnknown;
-  const Result result = play(9821, {stop(Trouble::RoleStop, 1200, 1800, a_prefill_engine)}, settings);
+  const Result result = play(9821, {trouble_at(Trouble::RoleStop, 1200, 1800, a_prefill_engine)}, settings);
   EXPECT_TRUE(result.passed) << result.report;
 }
 
@@ -110,7 +85,7 @@
   std::vector<Window> windows;
   for (int k = 0; k < 5; ++k)
     windows.push_back(
-        stop(Trouble::RoleStop, 1000 + k * 950, 700, a_decode_engine + static_cast<std::size_t>(k)));
+        trouble_at(Trouble::RoleStop, 1000 + k * 950, 700, a_decode_engine + static_cast<std::size_t>(k)));
   const Result result = play(9831, windows, settings);
   EXPECT_TRUE(result.passed) << result.report;
 }
@@ -121,9 +96,9 @@
   settings.place_answers = PlaceAnswers::Always;
   std::vector<Window> windows;
   for (std::size_t k = 0; k < 4; ++k)
-    windows.push_back(stop(Trouble::EngineTakesNothing, 1200, 1500, a_decode_engine + k));
+    windows.push_back(trouble_at(Trouble::EngineTakesNothing, 1200, 1500, a_decode_engine + k));
   for (std::size_t k = 0; k < 3; ++k)
-    windows.push_back(stop(Trouble::EngineTakesNothing, 4000, 1500, a_prefill_engine + k));
+    windows.push_back(trouble_at(Trouble::EngineTakesNothing, 4000, 1500, a_prefill_engine + k));
   const Result result = play(9841, windows, settings);
   EXPECT_TRUE(result.passed) << result.report;
 }
@@ -136,7 +111,7 @@
   for (Effect& effect : settings.effects) effect = Effect::NonRetriable;
   std::vector<Window> busy;
   for (std::size_t k = 0; k < decode_engines; ++k)
-    busy.push_back(stop(Trouble::EngineBusy, 1500, 3000, a_decode_engine + k));
+    busy.push_back(trouble_at(Trouble::EngineBusy, 1500, 3000, a_decode_engine + k));
   const Result result = play(9701, busy, settings);
   EXPECT_TRUE(result.passed) << result.report;
   EXPECT_EQ(result.called_off, 0u) << result.report;
--- a/tests/reservations_model.hpp
+++ b/tests/reservations_model.hpp
@@ -37,6 +37,8 @@
   AnswerWritten,  // not heard yet
   Streaming,      // of a decode attempt: its first token was heard
   Abandoned,      // given up while it lay in the kernel: the engine may take it later
+  EndSent,        // of a decode attempt: given up, and its engine has not heard of it; it waits on
+  EndArrived,     // of a decode attempt: its engine has heard of its end, and that was not heard here
   LateAnswer,     // of one that had been abandoned; not heard yet
   Over
 };
@@ -59,7 +61,9 @@
   bool out() const {
     const auto works = [](const std::vector<Call>& calls, bool decode) {
       for (const Call c : calls)
-        if (c == Call::Taken || c == Call::Streaming || (decode && c == Call::AnswerWritten)) return true;
+        if (c == Call::Taken || c == Call::Streaming || c == Call::EndSent ||
+            (decode && c == Call::AnswerWritten))
+          return true;
       return false;
     };
     return works(reads, false) || works(decodes, true);
@@ -71,6 +75,17 @@
           return true;
     return false;
   }
+  // A decode attempt waits at its engine for what is held: a release does not touch that.
+  bool waited_for() const {
+    for (const Call c : decodes)
+      if (c == Call::Taken || c == Call::EndSent) return true;
+    return false;
+  }
+  bool decode_out() const {
+    for (const Call c : decodes)
+      if (c == Call::Written || c == Call::Taken || c == Call::AnswerWritten) return true;
+    return false;
+  }
   bool streams() const {
     for (const Call c : decodes)
       if (c == Call::Streaming) return true;
@@ -81,6 +96,11 @@
       if (held) return true;
     return place_held || late_left;
   }
+  bool holds_state() const {
+    for (const auto& held : states_held)
+      if (held) return true;
+    return false;
+  }
   void drop_all() {
     for (auto& held : states_held) held.reset();
     place_held.reset(), late_left.reset();
@@ -159,7 +179,9 @@
     if (s.release != Call::None) return false;
     const auto due = s.rules.release_due(model_limit);
     if (due && *due <= s.time()) return true;
-    return s.rules.unwanted() && (!s.any_wanted_out() || (s.client_left && !s.streams()));
+    if constexpr (requires { s.rules.may_release(s.time()); })
+      if (!s.rules.may_release(s.time())) return false;
+    return s.rules.unwanted() && (!s.any_wanted_out() || (s.client_left && !s.streams() && !s.decode_out()));
   }
   static void order_release(State& n) {
     n.rules.release_ordered(n.time());
@@ -239,17 +261,29 @@
       case Call::None:
         // An attempt waits for a release that is on its way.
         if (s.state_known && !s.client_left && s.release == Call::None &&
-            (k == 0 || s.decodes[k - 1] == Call::Over))
+            (k == 0 || is_ended_here(s.decodes[k - 1])))
           move(s, [&](State& n) { n.decodes[k] = Call::Written, n.rules.decode_ordered(number); });
         break;
       case Call::Written:
         move(s, [&](State& n) { take_decode(n, k); });
         if (bounds_.answers_lost) move(s, [&](State& n) { lose_decode(n, k); });
         break;
-      case Call::Taken:  // fetched
-        move(s, [&](State& n) { n.decodes[k] = Call::AnswerWritten; });
+      case Call::Taken:  // its first token ends all that is held
+        move(s, [&](State& n) { n.decodes[k] = Call::AnswerWritten, n.drop_all(); });
         if (bounds_.answers_lost) move(s, [&](State& n) { lose_decode(n, k); });
         break;
+      case Call::EndSent:
+        move(s, [&](State& n) { n.decodes[k] = Call::EndArrived, n.last_out = n.now; });
+        move(s, [&](State& n) { n.decodes[k] = Call::EndArrived, n.last_out = n.now, n.drop_all(); });
+        break;
+      case Call::EndArrived:
+        move(s, [&](State& n) { hear_end(n, k); });
+        move(s, [&](State& n) { n.decodes[k] = Call::Over; });  // nothing tells of it
+        break;
+      case Call::Abandoned:
+        move(s, [&](State& n) { n.decodes[k] = n.holds_state() ? Call::EndSent : Call::EndArrived; });
+        move(s, [&](State& n) { n.decodes[k] = Call::EndArrived; });
+        break;
       case Call::AnswerWritten: move(s, [&](State& n) { hear_decode(n, k, number); }); break;
       case Call::Streaming:
         move(s, [&](State& n) {
@@ -261,11 +295,8 @@
     }
   }
   static void take_decode(State& n, std::size_t k) {
-    bool state = false;
-    for (const auto& held : n.states_held) state |= held.has_value();
-    n.no_state = !state;
-    n.decodes[k] = state ? Call::Taken : Call::AnswerWritten;
-    if (state) n.drop_all();  // the engine that fetches takes over all that is held then
+    n.no_state = !n.holds_state();
+    n.decodes[k] = n.no_state ? Call::AnswerWritten : Call::Taken;
   }
   static void hear_decode(State& n, std::size_t k, int number) {
     if (!n.no_state) {
@@ -277,9 +308,20 @@
     n.rules.mark_unwanted(n.time());
   }
   static void lose_decode(State& n, std::size_t k) {
-    if (n.decodes[k] == Call::Taken) n.last_out = n.now;
+    n.decodes[k] = n.decodes[k] == Call::Taken ? Call::EndSent : Call::Abandoned;
+    const int number = static_cast<int>(k);
+    if constexpr (requires { n.rules.decode_given_up(number, n.time()); })
+      n.rules.decode_given_up(number, Instant::at(Span::millis(3600000)));
+    else n.rules.decode_ended(number, false, n.time());
+    if (n.client_left) n.rules.mark_unwanted(n.time());
+  }
+  static void hear_end(State& n, std::size_t k) {
     n.decodes[k] = Call::Over;
-    n.rules.decode_ended(static_cast<int>(k), false, n.time());
+    if constexpr (requires { n.rules.decode_end_seen(static_cast<int>(k)); })
+      n.rules.decode_end_seen(static_cast<int>(k));
+  }
+  static bool is_ended_here(Call c) {
+    return c == Call::Over || c == Call::EndSent || c == Call::EndArrived || c == Call::Abandoned;
   }
 
   void place_moves(const State& s) {
@@ -330,7 +372,8 @@
   void release_moves(const State& s) {
     if (s.release != Call::Written) return;
     move(s, [](State& n) {
-      n.release = Call::None, n.drop_all();
+      n.release = Call::None;
+      if (!n.waited_for()) n.drop_all();
       n.rules.release_ended(Reservations::ReleaseEnd::Taken, model_limit, n.time());
     });
   }
