What is reserved ends by a first token, or a release after all attempts were seen to end

Cause: `Reservations::release_ended(Taken)` erased every entry that was settled before the release, whoever was out. A release under an attempt frees nothing that it waits for and is answered 204 all the same, so that after 0.8 of the limit the ledger was empty, and the attempt's later end was nobody's. Beside it the release was ordered in the millisecond in which the attempt's connection was closed, so that it overtook the end. Class: an act of ours (a close, an order, a 204) taken for a change at the other side.

Change - Reservations: a decode attempt is out, given up (its end not seen), or seen to have ended. A release ends only what no attempt may wait for; what is left is due again 0.8 of the limit after the release that could not touch it, or at once when the end is seen. An end that nothing tells of is over when the wait that the engine was told, and the limit, have passed. One release is out at a time: two let the first one's answer end what came between them. - Core: decode attempts are given up by ending the sending, as reads are; the engine's end of the connection in answer is the evidence, waited for 0.1 s and then by AbandonedCalls. A reset is none: a proxy may have made it. - Cases: what may be left of a request that is over is kept and released until nothing is; before, its ledger went with the request, and a release that nobody took was forgotten. - A release that found no thread, or was not taken, is ordered again after a pause, also of a request that is over. - The moment of a call's write is noted by the thread that wrote it, no longer worked out from when the owner heard of its end; and each read's write is known, so that later answers show reads without a place, too. - After SIGTERM a node that may still hold something stays until 0.1 s before the earliest kill, not for 1 s. - An abandoned call that was watched for 30 s is told of like the others, not closed untold.

--- a/src/front/abandoned_calls.cpp
+++ b/src/front/abandoned_calls.cpp
@@ -163,8 +163,13 @@
   return out;
 }
 
+// Its engine may still take it, or hear of its end, when it goes on.
 void AbandonedCalls::close_old(Instant now) {
-  while (!calls_.empty() && now - calls_.front().since > kept_at_most) calls_.pop_front();
+  while (!calls_.empty() && now - calls_.front().since > kept_at_most) {
+    calls_.front().since = now;
+    add_unwatched(std::move(calls_.front()), false);
+    calls_.pop_front();
+  }
 }
 
 }  // namespace calicograde::front
--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -15,6 +15,9 @@
 bool Cases::Case::any_out() const {
   return std::any_of(sends.begin(), sends.end(), [](const Sent& s) { return s.out; });
 }
+bool Cases::Case::decode_out() const {
+  return std::any_of(sends.begin(), sends.end(), [](const Sent& s) { return s.out && s.leg != Leg::Read; });
+}
 bool Cases::Case::read_out() const {
   return std::any_of(sends.begin(), sends.end(), [](const Sent& s) { return s.out && s.leg == Leg::Read; });
 }
@@ -24,6 +27,12 @@
   return it == cases_.end() ? nullptr : &it->second;
 }
 
+Reservations* Cases::reservations_of(InfId inf) {
+  if (Case* c = find(inf)) return &c->reserved;
+  const auto it = leftovers_.find(inf);
+  return it == leftovers_.end() ? nullptr : &it->second.reserved;
+}
+
 Stage Cases::stage_of(const EngineId& id) const {
   const auto it = kinds_.find(id);
   if (it == kinds_.end() || it->second >= settings_.kinds.size()) return Stage::Both;
@@ -44,21 +53,24 @@
 std::size_t Cases::holdings() const {
   std::size_t n = 0;
   for (const auto& [inf, c] : cases_) n += c.holdings.size();
-  return n;
+  return n + leftovers_.size();
 }
 
 std::vector<Cases::LongHold> Cases::long_holds(Instant now, Span limit, Span on_top) {
   std::vector<LongHold> out;
-  for (auto& [inf, c] : cases_) {
-    const auto since = c.reserved.reserved_since();
-    if (!since || (!whole_ && c.any_out())) continue;
+  const auto look = [&](auto& of, bool answered) {
+    const auto since = of.reserved.reserved_since();
+    if (!since) return;
     const Span held = now - *since;
-    const bool too_long = held > limit + on_top && !c.reserved.release_tried_since(*since);
-    bool& told = too_long ? c.told_too_long : c.told_long;
-    if (held <= limit * 0.5 || std::exchange(told, true)) continue;
-    out.push_back({c.id, held, too_long, c.reserved.count(), c.reserved.unshown_reads().size(),
-                   c.reserved.unwanted(), c.final != Final::None});
-  }
+    const bool too_long = held > limit + on_top && !of.reserved.release_tried_since(*since);
+    bool& told = too_long ? of.told_too_long : of.told_long;
+    if (held <= limit * 0.5 || std::exchange(told, true)) return;
+    out.push_back({of.id, held, too_long, of.reserved.count(), of.reserved.unshown_reads().size(),
+                   of.reserved.unseen_ends(), of.reserved.unwanted(), answered});
+  };
+  for (auto& [inf, c] : cases_)
+    if (whole_ || !c.any_out()) look(c, c.final != Final::None);
+  for (auto& [inf, leftover] : leftovers_) look(leftover, true);
   return out;
 }
 
@@ -121,7 +133,7 @@
   if (unrun || s.leg == Leg::Read) s.ran = false;
   s.unrun = unrun, s.gave_state = e.as == EndedAs::ReadDone;
   const bool own_answer = e.written && e.arrived && e.own_answer;
-  if (s.leg != Leg::Read) c->reserved.decode_ended(send, own_answer, now);
+  if (s.leg != Leg::Read) end_decode(*c, send, e, now);
   else c->reserved.read_ended(send, read_end_of(e.as, unrun), own_answer, now);
   // A stream's end, good or bad, is its inference's: what broke is lost. So is a refusal of the client's own
   // words.
@@ -152,6 +164,30 @@
   return event;
 }
 
+// Of an attempt that was given up its engine may hear later, or never; by the end of the time that it was
+// told it stops by itself.
+void Cases::end_decode(Case& c, std::uint8_t send, const Ending& e, Instant now) {
+  const Sent& s = c.sends[send];
+  const bool own_answer = e.written && e.arrived && e.own_answer;
+  if (!whole_ || s.unrun || e.end_seen) return c.reserved.decode_ended(send, own_answer, now);
+  const Span limit = settings_.pin_limit;
+  const Instant over_by = e.broke_off ? now + limit * broken_end_heard_part : std::max(s.until, now) + limit;
+  c.reserved.decode_given_up(send, over_by);
+}
+
+void Cases::read_written(InfId inf, std::uint8_t send, Instant at) {
+  Case* c = find(inf);
+  if (c && send < c->sends.size()) c->sends[send].written_before = at;
+}
+
+void Cases::end_seen(const Release& undo, std::uint8_t send) {
+  if (Reservations* reserved = reservations_of(undo.inf)) {
+    reserved->decode_end_seen(send);
+    return release_what_may_go(undo.inf);
+  }
+  this->undo(undo);
+}
+
 void Cases::place_asked(const AskPlace& ask) {
   Case* c = find(ask.inf);
   if (!c) return;
@@ -165,7 +201,7 @@
   Case* c = find(ask.inf);
   using Place = Reservations::PlaceAnswer;
   const Place answer = !held ? Place::Unknown : *held ? Place::Granted : Place::Refused;
-  if (c) c->reserved.place_answered(ask.number, answer);
+  if (Reservations* reserved = reservations_of(ask.inf)) reserved->place_answered(ask.number, answer);
   const auto current = [&](const Holding& h) { return h.name == ask.name; };
   if (!c || std::none_of(c->holdings.begin(), c->holdings.end(), current)) {
     // It was let go before the engine had granted it, or may have: the release may have come first, so it is
@@ -185,27 +221,51 @@
 
 // Releases what may be held that nobody here waits for.
 void Cases::undo(const Release& release) {
-  Case* c = find(release.inf);
-  if (!c || !whole_) return order_release(release);
-  c->reserved.mark_unwanted(now_);
-  let_loose_go(release.inf);
+  if (!whole_) return order_release(release);
+  if (!find(release.inf)) leftovers_.try_emplace(release.inf, Leftover{release.name, release.engine, {}});
+  reservations_of(release.inf)->mark_unwanted(now_);
+  release_what_may_go(release.inf);
+}
+
+void Cases::release_what_may_go(InfId inf) {
+  let_loose_go(inf);
+  release_leftover(inf, false);
+}
+
+// What is left once the request is over, nobody here will take: it is released until nothing is.
+void Cases::release_leftover(InfId inf, bool is_due) {
+  const auto it = leftovers_.find(inf);
+  if (it == leftovers_.end()) return;
+  Leftover& left = it->second;
+  if (left.reserved.count() == 0) return void(leftovers_.erase(it));
+  if (!left.reserved.may_release(now_) || (!is_due && !left.reserved.unwanted())) return;
+  const auto since = left.reserved.reserved_since();
+  const std::size_t unseen_ends = left.reserved.unseen_ends();
+  left.reserved.release_ordered(now_);
+  order_release({inf, left.engine, left.id, is_due && since ? std::optional(now_ - *since) : std::nullopt,
+                 unseen_ends});
+}
+
+void Cases::keep_leftover(Case& c) {
+  if (!whole_ || c.reserved.count() == 0) return;
+  const EngineId engine = c.sends.empty() ? EngineId{} : c.sends.front().engine;
+  leftovers_[c.what.inf] = {c.id, engine, std::move(c.reserved), c.told_long, c.told_too_long};
 }
 
 void Cases::abandoned_call_taken(const Release& release) {
-  if (Case* c = find(release.inf)) c->reserved.abandoned_call_taken(now_);
+  if (Reservations* reserved = reservations_of(release.inf)) reserved->abandoned_call_taken(now_);
   undo(release);
 }
 
 void Cases::release_ended(const Release& release, ReleaseEnd end) {
   if (!whole_) return;
-  Case* c = find(release.inf);
-  // The attempt that it gave way to, and its case, may be over before this is heard.
-  if (!c && end == ReleaseEnd::Withheld) order_release(release);
-  if (!c) return;
+  Reservations* reserved = reservations_of(release.inf);
+  if (!reserved) return;
   const bool taken = end == ReleaseEnd::Taken;
-  c->reserved.release_ended(taken ? Reservations::ReleaseEnd::Taken : Reservations::ReleaseEnd::NotTaken,
-                            settings_.pin_limit, now_);
-  if (!taken) undo(release);
+  reserved->release_ended(taken ? Reservations::ReleaseEnd::Taken : Reservations::ReleaseEnd::NotTaken,
+                          settings_.pin_limit, now_);
+  if (!taken) reserved->mark_unwanted(now_);
+  release_what_may_go(release.inf);
 }
 
 std::optional<Event> Cases::client_left(InfId inf) {
@@ -232,7 +292,7 @@
   Case* c = find(a.inf);
   if (!c) return;
   const auto number = static_cast<std::uint8_t>(c->sends.size());
-  Sent s{a.engine, Leg::Whole, now, true, false, true, {}};
+  Sent s{.engine = a.engine, .leg = Leg::Whole, .at = now, .until = c->ends, .name = {}};
   s.name = name_ + "." + std::to_string(a.inf) + "." + std::to_string(number);
   // Rule 1 against a module that forgot: nothing is sent after the final answer.
   const bool moot = c->final != Final::None || now >= c->ends || c->sends.size() >= 255;
@@ -267,6 +327,7 @@
     release(*c, [&](const Holding& h) { return h.place && h.engine != a.engine; });
   }
   order.leg = s.leg;
+  s.until = order.until;
   if (moot) s.out = false, s.ran = false;
   else if (s.leg == Leg::Read) c->reserved.read_ordered(number);
   else c->reserved.decode_ordered(number);
@@ -293,7 +354,7 @@
 
 void Cases::act(Instant now, const LetGo& a, std::vector<Event>&) {
   Case* c = find(a.inf);
-  if (!c) return;
+  if (!c) return release_leftover(a.inf, a.though_awaited);
   if (a.though_awaited && whole_) return let_all_go(*c, now);
   release(*c, [](const Holding& h) { return !h.awaited_by; });
   for (Holding& awaited : c->holdings) awaited.unwanted = true;
@@ -363,8 +424,10 @@
 void Cases::let_loose_go(InfId inf) {
   Case* c = find(inf);
   if (!c || !c->reserved.unwanted() || !c->holdings.empty()) return;
+  if (!c->reserved.may_release(now_)) return;
   const bool answered = c->final == Final::Given && !streams(*c);
-  if (c->any_out() && !answered) return;
+  // An attempt that was stopped ends in a moment: a release before that would not touch what it waits for.
+  if (c->any_out() && (!answered || (whole_ && c->decode_out()))) return;
   let_go_now(*c);
 }
 
@@ -373,9 +436,11 @@
 }
 
 void Cases::let_go_now(Case& c, std::optional<Span> reserved_for) {
+  if (c.reserved.release_is_out()) return c.reserved.mark_unwanted(now_);
   const EngineId engine = c.sends.empty() ? EngineId{} : c.sends.front().engine;
+  const std::size_t unseen_ends = c.reserved.unseen_ends();
   c.reserved.release_ordered(now_);
-  order_release({c.what.inf, engine, c.id, reserved_for});
+  order_release({c.what.inf, engine, c.id, reserved_for, unseen_ends});
 }
 
 void Cases::look_at_reservations(Instant now, std::vector<Event>& events) {
@@ -387,6 +452,22 @@
       events.push_back(ReservationsDue{inf});
     else if (const auto probe = c.reserved.probe_due(limit); probe && *probe <= now) probe_engines_of(c, now);
   }
+  for (const auto& [inf, left] : leftovers_)
+    if (const auto due = left.reserved.release_due(limit); due && *due <= now)
+      events.push_back(ReservationsDue{inf});
+  release_unwanted(now);
+}
+
+// What was not to be released before now.
+void Cases::release_unwanted(Instant now) {
+  std::vector<InfId> due;
+  const auto look = [&](InfId inf, const Reservations& reserved) {
+    const auto at = reserved.unwanted_release_at();
+    if (at && *at > Instant{} && *at <= now) due.push_back(inf);
+  };
+  for (const auto& [inf, c] : cases_) look(inf, c.reserved);
+  for (const auto& [inf, left] : leftovers_) look(inf, left.reserved);
+  for (const InfId inf : due) release_what_may_go(inf);
 }
 
 void Cases::probe_engines_of(Case& c, Instant now) {
@@ -400,9 +481,16 @@
   std::optional<Instant> next;
   const Span limit = settings_.pin_limit;
   if (!whole_ || limit <= Span{}) return next;
-  for (const auto& [inf, c] : cases_)
-    for (const auto& due : {c.reserved.release_due(limit), c.reserved.probe_due(limit)})
-      if (due) next = std::min(next.value_or(*due), *due);
+  const auto look = [&](const std::optional<Instant>& due) {
+    if (due) next = std::min(next.value_or(*due), *due);
+  };
+  const auto look_at = [&](const Reservations& reserved) {
+    look(reserved.release_due(limit));
+    const auto unwanted = reserved.unwanted_release_at();
+    if (unwanted && *unwanted > now_) look(unwanted);
+  };
+  for (const auto& [inf, c] : cases_) look_at(c.reserved), look(c.reserved.probe_due(limit));
+  for (const auto& [inf, left] : leftovers_) look_at(left.reserved);
   return next;
 }
 
@@ -422,7 +510,9 @@
   if (!c || c->final != Final::Given || c->any_out()) return;
   release(*c, [](const Holding&) { return true; });
   let_loose_go(inf);
+  keep_leftover(*c);
   cases_.erase(inf);
+  release_leftover(inf, false);
 }
 
 void Cases::overdue(Instant now, std::vector<Event>& events) {
--- a/src/front/cases.hpp
+++ b/src/front/cases.hpp
@@ -54,6 +54,7 @@
   std::string name;
   // Where the limit is near: for how long something may have been reserved with no attempt known to be out.
   std::optional<Span> reserved_for = {};
+  std::size_t unseen_ends = 0;  // of attempts that may wait for it all the same
 };
 enum class ReleaseEnd {
   Taken,
@@ -91,11 +92,14 @@
   std::string state;      // of a read that is done
   std::uint32_t kept_tokens = 0;
   bool kept_told = false;
-  bool written = true;              // as in SendEnded
-  bool arrived = true;              // as in SendEnded
-  bool no_sign = false;             // as in SendEnded
-  bool own_answer = true;           // as in SendEnded
-  bool refused_link = false;        // nothing listens there
+  bool written = true;                     // as in SendEnded
+  bool arrived = true;                     // as in SendEnded
+  bool no_sign = false;                    // as in SendEnded
+  bool own_answer = true;                  // as in SendEnded
+  bool end_seen = true;                    // at its engine, or it never reached it (routing/reservations.hpp)
+  bool broke_off = false;                  // its connection ended by itself, with no answer
+  std::optional<Instant> written_at = {};  // its last byte
+  bool refused_link = false;               // nothing listens there
   std::size_t link_uses = 0;        // of the connection that it went on, itself included; 0 = none came about
   Span link_stood = {}, took = {};  // since that was asked last before; from the connection to the end
   std::optional<LoadReport> report;
@@ -121,6 +125,10 @@
   std::optional<Event> ended(Instant now, InfId inf, std::uint8_t send, const Ending& ending);
   // One that was not taken is ordered anew once nothing is out.
   void release_ended(const Release& release, ReleaseEnd end);
+  // A read was written whole by then.
+  void read_written(InfId inf, std::uint8_t send, Instant at);
+  // An attempt that had been given up has ended at its engine; `undo` releases what it waited for.
+  void end_seen(const Release& undo, std::uint8_t send);
   // A call that had been given up was taken by its engine all the same; `undo` releases what came of it.
   void abandoned_call_taken(const Release& undo);
   // The question is about to be written; before that nothing can be held for it.
@@ -162,6 +170,7 @@
     bool too_long = false;          // longer than the limit and what is allowed on top
     std::size_t holdings = 0;       // states and places that are remembered
     std::size_t unshown_reads = 0;  // that are out, as far as is known
+    std::size_t unseen_ends = 0;    // of attempts that were given up
     bool to_be_released = false;    // something else may be held, and is let go with the next release
     bool answered = false;          // the request has its final answer
   };
@@ -180,10 +189,11 @@
     EngineId engine;
     engines::Leg leg = engines::Leg::Read;
     Instant at;
+    Instant until;  // its engine was told to wait until then
     bool out = true, started = false, ran = true;
     std::string name;
     bool unrun = false, gave_state = false;  // of one that has ended: proven; it was a read and ended well
-    std::optional<Instant> written_before = {};  // of a read with a place
+    std::optional<Instant> written_before = {};  // of a read
   };
   enum class Final { None, Streaming, Given };
   struct Case {
@@ -198,6 +208,14 @@
     bool told_long = false, told_too_long = false;
     bool any_out() const;
     bool read_out() const;
+    bool decode_out() const;
+  };
+  // Of a request that is over: what may still be reserved for it.
+  struct Leftover {
+    std::string id;
+    EngineId engine;
+    Reservations reserved;
+    bool told_long = false, told_too_long = false;
   };
 
   void act(Instant now, const SendTo& a, std::vector<Event>& events);
@@ -213,12 +231,18 @@
   void act(Instant, const A&, std::vector<Event>&) {}  // Probe, MoveStream, Subscribe, FetchList, TellPeer
 
   Case* find(InfId inf);
+  Reservations* reservations_of(InfId inf);
   void answer(Case& c, bool shed, Span retry_after);
   void let_loose_go(InfId inf);
   void let_go_now(Case& c, std::optional<Span> reserved_for = {});
   void order_release(const Release& release);
   void undo(const Release& release);
   void let_all_go(Case& c, Instant now);
+  void end_decode(Case& c, std::uint8_t send, const Ending& ending, Instant now);
+  void keep_leftover(Case& c);
+  void release_leftover(InfId inf, bool is_due);
+  void release_what_may_go(InfId inf);
+  void release_unwanted(Instant now);
   void probe_engines_of(Case& c, Instant now);
   void end_named_releases(Case& c);
   static bool streams(const Case& c);
@@ -236,6 +260,7 @@
   std::vector<bool> release_;
   std::map<EngineId, std::uint8_t> kinds_;
   std::map<InfId, Case> cases_;
+  std::map<InfId, Leftover> leftovers_;
   std::set<std::pair<Instant, InfId>> ends_;  // of those without a final answer
   std::vector<Order> orders_;
 };
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -77,7 +77,7 @@
 
 // Its engine has answered it, and it is known when it was written: not so of streams, which end in another
 // thread.
-bool tells_when_written(const Ending& ending) { return ending.own_answer && ending.link_uses > 0; }
+bool tells_when_written(const Ending& ending) { return ending.own_answer && ending.written_at; }
 
 bool tells_of_engine(EndedAs as) {
   return as != EndedAs::Cancelled && as != EndedAs::Moot && as != EndedAs::LocalFailure;
@@ -130,6 +130,16 @@
 struct TakenLate {
   Release undo;
 };
+struct ReadWritten {
+  InfId inf;
+  std::uint8_t send;
+  Instant at;
+};
+// Of an attempt that had been given up.
+struct EndSeen {
+  Release undo;
+  std::uint8_t send;
+};
 struct Gone {
   InfId inf;
 };
@@ -153,8 +163,8 @@
 };
 struct Report {
   std::size_t pool = 0;
-  std::variant<Taken, Started, Ended, PlaceAsked, PlaceSaid, Released, TakenLate, EngineAnswered, Gone, Heard,
-               CacheSaid, Looked, Errand>
+  std::variant<Taken, Started, Ended, PlaceAsked, PlaceSaid, Released, TakenLate, ReadWritten, EndSeen,
+               EngineAnswered, Gone, Heard, CacheSaid, Looked, Errand>
       what;
 };
 
@@ -321,6 +331,7 @@
                     {"held_ms", hold.held.as_millis()},
                     {"states_and_places", static_cast<std::int64_t>(hold.holdings)},
                     {"unshown_reads", static_cast<std::int64_t>(hold.unshown_reads)},
+                    {"unseen_ends", static_cast<std::int64_t>(hold.unseen_ends)},
                     {"to_be_released", std::int64_t{hold.to_be_released}},
                     {"answered", std::int64_t{hold.answered}}});
   }
@@ -515,7 +526,7 @@
                            e->ending.kept_told ? std::optional<double>(e->ending.kept_tokens) : std::nullopt);
       }
       if (const auto engine = p.cases.engine_of(e->inf, e->send); engine && tells_when_written(e->ending)) {
-        p.cases.engine_answered(*engine, now - e->ending.took);
+        p.cases.engine_answered(*engine, *e->ending.written_at);
         abandoned.engine_answered(*engine);
       }
       event = p.cases.ended(now, e->inf, e->send, e->ending);
@@ -528,6 +539,10 @@
       p.cases.release_ended(released->what, released->end);
     } else if (const auto* late = std::get_if<TakenLate>(&r.what)) {
       p.cases.abandoned_call_taken(late->undo);
+    } else if (const auto* written = std::get_if<ReadWritten>(&r.what)) {
+      p.cases.read_written(written->inf, written->send, written->at);
+    } else if (const auto* end = std::get_if<EndSeen>(&r.what)) {
+      p.cases.end_seen(end->undo, end->send);
     } else if (const auto* answered = std::get_if<EngineAnswered>(&r.what)) {
       p.cases.engine_answered(answered->engine, answered->written);
       abandoned.engine_answered(answered->engine);
@@ -649,6 +664,7 @@
                     {"link_uses", static_cast<std::int64_t>(e.ending.link_uses)},
                     {"link_stood_ms", e.ending.link_stood.as_millis()},
                     {"took_ms", e.ending.took.as_millis()},
+                    {"end_seen", std::int64_t{e.ending.end_seen}},
                     {"no_state", std::int64_t{e.ending.no_state}}});
   }
 
@@ -668,7 +684,8 @@
             handed_over = run_send(p, s, *ticket, *control, *gate, ending);
           } catch (const std::exception& problem) {
             core.log_.line(Level::Error, "attempt failed", {{"what", problem.what()}});
-            ending = Ending{.as = EndedAs::Errored, .state = {}, .report = {}};
+            ending = Ending{
+                .as = EndedAs::Errored, .state = {}, .own_answer = false, .end_seen = false, .report = {}};
           }
           control->over();
           if (handed_over) return;  // the client's thread ends it
@@ -818,7 +835,7 @@
 
   bool talk(PoolParts& p, const StartSend& s, Ticket& ticket, SendControl& control, const net::Address& at,
             http::ClientConnection& link, SendFacts& facts, Ending& ending) {
-    const bool may_be_abandoned = s.leg == Leg::Read && p.dialect->releases_whole();
+    const bool may_be_abandoned = p.dialect->releases_whole();
     using OnStop = SendControl::OnStop;
     if (!control.attach(link.stream(), may_be_abandoned ? OnStop::EndSending : OnStop::Shut)) return false;
     // A stop must not reach for a socket that has gone (found by TSan: the link ended before its control let
@@ -843,7 +860,11 @@
     facts.asked_whole = link.ask(words.method, words.target, words.headers, *words.body, s.until);
     facts.any_written = link.stream().bytes_written() > before;
     control.written(facts.asked_whole);
-    if (facts.asked_whole) check_written(p, s, ticket, link.last_used());
+    if (facts.asked_whole) {
+      ending.written_at = clock_now();
+      if (s.leg == Leg::Read) queue.put({p.index, ReadWritten{s.inf, s.send, *ending.written_at}});
+      check_written(p, s, ticket, link.last_used());
+    }
     if (core.log_.shows(Level::Debug))
       core.log_.line(Level::Debug, "attempt written",
                      {{"id", std::string_view(s.name)},
@@ -863,17 +884,17 @@
     if (end != BodyEnd::Done) {
       facts.timed_out = end == BodyEnd::TimedOut;
       control.detach();
-      // An engine that ended the connection of an attempt that was given up has noticed it.
-      const bool ended_by_engine = end == BodyEnd::Broken && !facts.called_off;
-      const bool noticed = ended_by_engine && (facts.arrived || control.stopped());
-      if (may_be_abandoned && !noticed) abandon(p, {s.inf, s.engine, s.name}, std::move(link));
+      if (may_be_abandoned) give_up(p, attempt, end, link, facts, ending);
       return false;
     }
     p.dialect->head(head, facts, ending);
-    if (p.dialect->streams(s.leg, head)) return begin_stream(p, s, ticket, control, at, link, facts);
+    // From here on a stop ends the wait: what is still to come decides nothing about what is reserved.
+    const bool goes_on = control.attach(link.stream(), OnStop::Shut);
+    if (p.dialect->streams(s.leg, head)) {
+      if (!goes_on) return facts.cancelled = true, false;
+      return begin_stream(p, s, ticket, control, at, link, facts);
+    }
     std::string text;
-    // A stop does not end this wait where it ends the sending alone.
-    control.attach(link.stream(), OnStop::Shut);
     end =
         link.read_whole(text, control.stopped() ? clock_now() + stop_noticed_within : s.until, answer_bytes);
     facts.body_whole = end == BodyEnd::Done, facts.timed_out = end == BodyEnd::TimedOut && head.status == 200;
@@ -980,6 +1001,36 @@
     if (!errands.submit(ask)) sign->end_probe();
   }
 
+  // An attempt without an answer: what its engine may still do, or hold, for it is looked after.
+  void give_up(PoolParts& p, const Attempt& attempt, BodyEnd end, http::ClientConnection& link,
+               const SendFacts& facts, Ending& ending) {
+    const StartSend& s = attempt.order;
+    const bool ended_by_engine = end == BodyEnd::Broken && !facts.called_off;
+    const bool stopped = attempt.control.stopped();
+    if (s.leg == Leg::Read) {
+      // An engine that ended the connection of an attempt that was given up has noticed it.
+      const bool noticed = ended_by_engine && (facts.arrived || stopped);
+      if (!noticed) abandon(p, {s.inf, s.engine, s.name}, std::move(link));
+      return;
+    }
+    // A reset may come from something between here and the engine, which hears of it later.
+    ending.end_seen = ended_by_engine && stopped && !link.stream().broken();
+    ending.broke_off = ended_by_engine && !ending.end_seen;
+    if (!ended_by_engine) watch_for_end(p, s, std::move(link));
+  }
+
+  // Its sending is ended, and its engine ends the connection in answer once it has heard of that.
+  void watch_for_end(PoolParts& p, const StartSend& s, http::ClientConnection link) {
+    const Release undo{s.inf, s.engine, s.name};
+    abandoned.keep(s.engine, std::move(link), [this, &p, undo, send = s.send](bool answered) {
+      core.log_.line(Level::Info, "end of an attempt seen after it was given up",
+                     {{"id", std::string_view(undo.name)},
+                      {"send", std::int64_t{send}},
+                      {"answered", std::int64_t{answered}}});
+      queue.put({p.index, EndSeen{undo, send}});
+    });
+  }
+
   // A read or a place that was given up and may be taken yet, once its engine runs again: what it leaves is
   // released.
   void abandon(PoolParts& p, const Release& undo, http::ClientConnection link) {
@@ -1158,6 +1209,7 @@
     core.log_.line(Level::Info, "released before the limit",
                    {{"id", std::string_view(release.name)},
                     {"reserved_ms", release.reserved_for->as_millis()},
+                    {"unseen_ends", static_cast<std::int64_t>(release.unseen_ends)},
                     {"reason", "no attempt is known to be out"}});
   }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -309,7 +309,7 @@
       if (!retry.pause()) return ec = boost::asio::error::timed_out, 0;
       continue;
     }
-    if (errno != EAGAIN) return ec = last_error(), 0;
+    if (errno != EAGAIN) return broken_ = true, ec = last_error(), 0;
     // A descriptor below 0 is passed over by poll.
     pollfd p[3] = {{fd_.get(), POLLIN, 0}, {watched_, POLLRDHUP, 0}, {wake_, POLLIN, 0}};
     if (wait_ready(p, 3, deadline_) == 0) return ec = boost::asio::error::timed_out, 0;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -86,6 +86,8 @@
   bool stale(Instant until = {}) const;
   // Ended by the peer or broken, with nothing left to read.
   bool ended() const;
+  // A read has failed: the connection was reset, or broke, and did not end in order.
+  bool broken() const { return broken_; }
   // Whether the other side has closed its end; what it sent before may still be unread.
   bool peer_left() const;
   // Whether the other side's machine has acknowledged all that was written; none where the kernel can't tell.
@@ -133,6 +135,7 @@
   Instant deadline_;
   int watched_ = -1, wake_ = -1;
   std::size_t bytes_read_ = 0, bytes_written_ = 0;
+  bool broken_ = false;
 };
 
 // A descriptor held in reserve, so that what must go on can go on where all others are taken. Not
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -36,7 +36,7 @@
 // answered, and what is held let go, so long before.
 constexpr Span deadline_counted_at_most = Span::millis(3000), kill_after_deadline = Span::millis(700);
 constexpr Span answered_before_kill = Span::millis(400);
-constexpr Span tidied_within = Span::millis(1000);
+constexpr Span tidied_within = Span::millis(1000), tidied_before_kill = Span::millis(100);
 constexpr Span first_word = Span::millis(500);  // of a registry that may be down
 constexpr Span tell_every = Span::millis(5000);
 constexpr double pause_of_grace = 0.25;  // mean; at most half as much again
@@ -209,13 +209,14 @@
 
   int stop() {
     log_.line(Level::Info, "stopping", {{"open", static_cast<std::int64_t>(core_.counts().open)}});
+    const Instant kill = clock_now() + earliest_kill(config_);
     server_.wind_down();
-    core_.end_budgets(clock_now() + earliest_kill(config_) - answered_before_kill);
+    core_.end_budgets(kill - answered_before_kill);
     for (const Instant until = clock_now() + still_taken; clock_now() < until;) heed_signals_while_draining();
     const bool clean = server_.stop(clock_now() + settings_.stop, [this] { heed_signals_while_draining(); });
-    // What ended last may still have something to let go.
-    for (const Instant until = clock_now() + tidied_within; clock_now() < until;
-         heed_signals_while_draining()) {
+    // What ended last may still have something to let go, and the end of an attempt may be heard late.
+    const Instant until = std::max(clock_now() + tidied_within, kill - tidied_before_kill);
+    for (; clock_now() < until; heed_signals_while_draining()) {
       const auto left = core_.in_work(until);
       if (!left || left->inferences + left->holdings == 0) break;
     }
--- a/src/routing/reservations.cpp
+++ b/src/routing/reservations.cpp
@@ -84,10 +84,24 @@
 void Reservations::decode_ended(int attempt, bool own_answer, Instant now) {
   const Attempt* ended = find(decodes_, attempt);
   const bool was_out = own_answer || (ended && ended->known_to_be_out);
-  std::erase_if(decodes_, [&](const Attempt& a) { return a.number == attempt; });
+  end_decode(attempt);
   if (was_out) restart_clock(now);
 }
 
+void Reservations::end_decode(int attempt) {
+  std::erase_if(decodes_, [&](const Attempt& a) { return a.number == attempt; });
+  std::erase_if(unseen_ends_, [&](const UnseenEnd& e) { return e.attempt == attempt; });
+  // What a release could not touch before can be released now.
+  not_before_ = Instant{};
+}
+
+void Reservations::decode_given_up(int attempt, Instant over_by) {
+  std::erase_if(decodes_, [&](const Attempt& a) { return a.number == attempt; });
+  unseen_ends_.push_back({attempt, over_by});
+}
+
+void Reservations::decode_end_seen(int attempt) { end_decode(attempt); }
+
 void Reservations::abandoned_call_taken(Instant now) {
   unwanted_ = true;
   entries_.push_back({Kind::State, no_number, now, true, true});
@@ -101,20 +115,34 @@
 void Reservations::release_ordered(Instant now) {
   release_ordered_at_ = now;
   release_out_ = true;
-  for (Entry& e : entries_) e.before_release = e.settled;
+  std::erase_if(unseen_ends_, [&](const UnseenEnd& e) { return e.over_by <= now; });
+  const bool waited_for = !decodes_.empty() || !unseen_ends_.empty();
+  for (Entry& e : entries_) {
+    e.release_tried = e.settled;
+    e.ends_with_release = e.settled && !waited_for;
+  }
   unwanted_ = false;
 }
 
 void Reservations::release_ended(ReleaseEnd end, Span pin_limit, Instant now) {
   if (!std::exchange(release_out_, false)) return;
   const Instant ordered = *release_ordered_at_;
-  if (end == ReleaseEnd::NotTaken) {
-    not_before_ = now + pin_limit * release_again_part;
-    return;
+  if (end == ReleaseEnd::Taken) {
+    std::erase_if(entries_, [](const Entry& e) { return e.ends_with_release; });
+    // What was settled after the order, or is not settled yet, may have come after the release; what an
+    // attempt waited for may be waited for no more since.
+    for (Entry& e : entries_) e.since = std::max(e.since, ordered);
   }
-  // What was settled after the order, or is not settled yet, may have come after the release.
-  std::erase_if(entries_, [](const Entry& e) { return e.before_release; });
-  for (Entry& e : entries_) e.since = std::max(e.since, ordered);
+  const bool left =
+      std::any_of(entries_.begin(), entries_.end(), [](const Entry& e) { return e.release_tried; });
+  if (end == ReleaseEnd::NotTaken) not_before_ = now + pin_limit * release_again_part;
+  else if (left) not_before_ = ordered + pin_limit * release_due_part;
+  unwanted_ = unwanted_ || left;
+}
+
+std::optional<Instant> Reservations::unwanted_release_at() const {
+  if (!unwanted_ || release_out_) return std::nullopt;
+  return not_before_;
 }
 
 std::optional<Instant> Reservations::reserved_since() const {
