A node that was told to end stays while engines may take calls that it abandoned

Cause: what is still to be released after SIGTERM was counted without the calls that were given up and may be taken yet. They are counted now, so that the node stays until 0.1 s before the earliest kill where there are any.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -838,8 +838,7 @@
     const bool may_be_abandoned = p.dialect->releases_whole();
     using OnStop = SendControl::OnStop;
     if (!control.attach(link.stream(), may_be_abandoned ? OnStop::EndSending : OnStop::Shut)) return false;
-    // A stop must not reach for a socket that has gone (found by TSan: the link ended before its control let
-    // go).
+    // A stop must not reach for a socket that has gone.
     const Detach at_the_end{control};
     const Instant begun = clock_now();
     const Span stood = link.uses() > 0 ? begun - link.last_used() : Span{};
@@ -1772,6 +1771,8 @@
   }
   // A release that is on its way still holds what it lets go.
   for (const Workers* w : {&inside_->errands, &inside_->releases}) out.holdings += w->unfinished();
+  // What an engine takes of these when it goes on has to be released then.
+  out.holdings += inside_->abandoned.count();
   return out;
 }
 
--- a/tests/program/stopped_engines_test.cpp
+++ b/tests/program/stopped_engines_test.cpp
@@ -103,6 +103,18 @@
   EXPECT_TRUE(result.passed) << result.report;
 }
 
+TEST(StoppedEngines, PlacesAreLetGoThatAreGrantedAfterTheNodeWasToldToEnd) {
+  RunSettings settings;
+  settings.place_answers = PlaceAnswers::Always;
+  std::vector<Window> windows;
+  for (std::size_t k = 0; k < 3; ++k)
+    windows.push_back(trouble_at(Trouble::EngineTakesNothing, 1200, 1900, a_decode_engine + k));
+  for (std::size_t node = 0; node < 3; ++node)
+    windows.push_back({Trouble::Sigterm, Span::millis(1400), Span::millis(100), node, 0});
+  const Result result = play(9851, windows, settings);
+  EXPECT_TRUE(result.passed) << result.report;
+}
+
 // Decode engines that run and take 0.45 s until a first token, with a limit of 0.5 s: a probe tells them from
 // stopped ones, and what has only one attempt is not called off.
 TEST(StoppedEngines, BusyEnginesThatAnswerProbesLoseNoCalls) {
