--- a/src/front/cases.cpp
+++ b/src/front/cases.cpp
@@ -205,8 +205,7 @@
   const auto current = [&](const Holding& h) { return h.name == ask.name; };
   if (!c || std::none_of(c->holdings.begin(), c->holdings.end(), current)) {
     // It was let go before the engine had granted it, or may have: the release may have come first, so it is
-    // sent once more. Found on days on which clients leave within a moment of the read: a question overtaken
-    // by the release, and answered 'not known' 0.3 s later, left its place held.
+    // sent once more.
     if (answer != Place::Refused) undo({ask.inf, ask.engine, ask.let_go_as});
     return std::nullopt;
   }
--- a/src/front/engine_stream.cpp
+++ b/src/front/engine_stream.cpp
@@ -25,7 +25,7 @@
 
 EngineStream::Next EngineStream::next_bytes(std::string& out, Instant deadline, int client_fd) {
   // An event that has come in part is of use to nobody yet, and each write costs the client's side a
-  // delivery: found on a day whose messages come in pieces, where a stream lagged 0.3 s behind its engine.
+  // delivery.
   const auto whole = [&] {
     const std::size_t n =
         body_done_ || tail_.size() > longest_tail ? tail_.size() : http::whole_events(tail_);
--- a/src/front/links.hpp
+++ b/src/front/links.hpp
@@ -55,8 +55,7 @@
   }
   void give_back(const net::Address& to, http::ClientConnection link) {
     if (!link.reusable()) return;
-    // Whoever used it last is watched no more: its descriptor may be another's by now (found by a day with
-    // tool servers, where sends on kept links ended as not reached).
+    // Whoever used it last is watched no more: its descriptor may be another's by now.
     link.stream().watch(-1);
     const std::lock_guard lock(mutex_);
     auto& kept = kept_[to];
--- a/src/front/lobby.hpp
+++ b/src/front/lobby.hpp
@@ -19,10 +19,9 @@
 namespace calicograde::front {
 
 // Clients' connections that need no thread: those that wait for a request's first byte, and those that were
-// answered and are left to their clients to close. One epoll and one thread serve them all. Guards against a
-// node that is held back to its share of a core: found on the day rude+garble+fleet, where 300 idle
-// connections had a thread each, and being stopped and continued with 320 threads took up the whole share,
-// so that the node stood still for seconds. Thread-safe.
+// answered and are left to their clients to close. One epoll and one thread serve them all: hundreds of
+// threads that wait would cost a node that is held back to its share of a core most of that share.
+// Thread-safe.
 class Lobby {
  public:
   struct Guest {
--- a/src/lab/engine_standin.cpp
+++ b/src/lab/engine_standin.cpp
@@ -164,8 +164,7 @@
   http::Limits limits;
   limits.idle = Span::millis(100), limits.body_bytes = 64 << 20;
   http::ServerConnection c(std::move(stream), limits);
-  // A send that waits in a slow handshake is out already: it counts from the connection (found by rule 5 on
-  // seven days at once, where the state seemed to lie idle for that long).
+  // A send that waits in a slow handshake is out already: it counts from the connection.
   std::optional<Instant> connected;
   if (const Span h = faults().handshake; h > Span{}) connected = clock_now(), wait(c, clock_now() + h, life);
   for (Instant last = clock_now(); life_ == life && clock_now() - last < Span::millis(60000);) {
--- a/src/limits/caps.cpp
+++ b/src/limits/caps.cpp
@@ -62,7 +62,7 @@
   if (!rules_.on) return {};
   knee_.look(now);
   if (now - mode_at_ < mode_lasts) return {};
-  // Since the last look: counted from the mode's beginning it would never end (found on reading it again).
+  // Since the last look: counted from the mode's beginning it would never end.
   const bool shedding = refused_ > refused_then_;
   mode_at_ = now, refused_then_ = refused_;
   if (shedding == shedding_) return {};
--- a/src/messages/call.cpp
+++ b/src/messages/call.cpp
@@ -32,7 +32,7 @@
   } catch (const Json::parse_error& e) {
     throw Refused{invalid("the body is no JSON, at byte " + std::to_string(e.byte))};
   } catch (const Json::exception&) {
-    // A number that no double holds (found by the fuzzer: it ended the process).
+    // A number that no double holds.
     throw Refused{invalid("the body holds a number that is out of range")};
   }
 }
--- a/src/routing/release_rules.hpp
+++ b/src/routing/release_rules.hpp
@@ -8,7 +8,7 @@
 // release, so that the choice is free: those that have lately shown that they run go first.
 namespace calicograde {
 
-// Of one engine, before the next is asked: 99 in 100 answer within 9 ms on days at the brink, the rest never.
+// Of one engine, before the next is asked.
 constexpr Span release_answer = Span::millis(25);
 // An engine that showed so lately that it runs, still does; it is asked alone.
 constexpr Span fresh_sign = Span::millis(100);
