Places and releases wait for a connection that rests, as attempts do

Traced with the log at debug: requests follow each other every 22 ms, each with a place, a decode attempt and, where the place was answered 204, a release at one engine. A connection rests for 20 ms after an answer; an attempt waits for one that has not rested yet, a place and a release opened another instead, so that the count went with the number of releases. The lead (the client hears the end of its stream before the connection is given back) is refuted: Answering::follow gives it back before the last chunk is written.

The bound stays.

--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -1110,7 +1110,7 @@
       SendFacts facts;
       // Within the limit there must be time to let go of what was granted unheard.
       const Instant until = clock_now() + p.settings.routing.pin_limit * 0.8;
-      auto link = link_to(p, *at, until, facts);
+      auto link = link_to(p, *at, until, facts, true);
       if (!link || !wanted()) {
         if (link) p.links.give_back(*at, std::move(*link));
         return queue.put({p.index, PlaceSaid{a, false}});
@@ -1223,7 +1223,7 @@
     ReleaseRace::Calls calls;
     calls.connect = [&](std::size_t engine, Instant by) {
       SendFacts facts;
-      return link_to(p, where[engine].at, by, facts);
+      return link_to(p, where[engine].at, by, facts, true);
     };
     calls.may_write = [&] {
       const ReleaseView view{clock_now(), rules.give_up_at, !gate.may_release(attempts)};
