--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <chrono>
+
 #include "net/clock.hpp"
 #include "net/thread.hpp"
 
@@ -9,8 +11,17 @@
 
 using net::clock_now;
 
-LoopbackServer::LoopbackServer(Serve serve, unsigned short port)
-    : serve_(std::move(serve)), listener_(net::Address{"127.0.0.1", port}), acceptor_([this] { accept(); }) {}
+namespace {
+
+constexpr Span pauses_at_most = Span::millis(20000);
+constexpr std::chrono::milliseconds looks_for_ends_every{5};
+
+}  // namespace
+
+LoopbackServer::LoopbackServer(Serve serve, unsigned short port, int backlog)
+    : serve_(std::move(serve)),
+      listener_(net::Address{"127.0.0.1", port}, backlog),
+      acceptor_([this] { accept(); }) {}
 
 LoopbackServer::~LoopbackServer() {
   stopping_ = true;
@@ -81,17 +92,27 @@
   const std::lock_guard lock(mutex_);
   return reading_.contains(id) && (held_[id].insert(engine), true);
 }
-bool PlatformHall::take(const std::string& id) {
+bool PlatformHall::wait_for_state(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  if (!held_.contains(id)) return false;
+  waiting_.insert(id);
+  return true;
+}
+void PlatformHall::first_token(const std::string& id) {
   const std::lock_guard lock(mutex_);
-  read_.erase(id);
-  return held_.erase(id) > 0;
+  read_.erase(id), held_.erase(id);
+}
+void PlatformHall::attempt_ends(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  waiting_.erase(waiting_.find(id));
 }
 void PlatformHall::let_go(const std::string& id) {
   std::unique_lock lock(mutex_);
   const auto here = releasing_.insert(id);
   if (late_ > 0)
     changed_.wait_for(lock, std::chrono::milliseconds(late_), [&] { return read_.contains(id); });
-  releasing_.erase(here), held_.erase(id), read_.erase(id);
+  releasing_.erase(here);
+  if (!waiting_.contains(id)) held_.erase(id), read_.erase(id);
   changed_.notify_all();
 }
 std::size_t PlatformHall::held() const {
@@ -173,13 +194,24 @@
     ~Reading() { hall.reading(id, false); }
   };
   const auto reading = reader_ ? std::make_unique<Reading>(hall_, id) : nullptr;
+  struct Waiting {
+    PlatformHall& hall;
+    const std::string id;
+    Waiting(PlatformHall& h, std::string i) : hall(h), id(std::move(i)) {}
+    ~Waiting() { hall.attempt_ends(id); }
+  };
+  const bool has_state = !reader_ && hall_.wait_for_state(id);
+  const auto waiting = has_state ? std::make_unique<Waiting>(hall_, id) : nullptr;
   {
     std::unique_lock lock(mutex_);
     ++waiting_;
     const bool waited = paused_;
-    resumed_.wait_for(lock, std::chrono::seconds(20), [&] { return !paused_; });
+    // Whoever closes the connection meanwhile has called it off.
+    for (const Instant until = clock_now() + pauses_at_most; paused_ && clock_now() < until;) {
+      resumed_.wait_for(lock, looks_for_ends_every);
+      if (c.stream().peer_left()) break;
+    }
     --waiting_;
-    // Whoever closed the connection meanwhile has called it off.
     if (waited && c.stream().peer_left()) return false;
   }
   // A moment, in which a place for it can be asked for.
@@ -207,7 +239,8 @@
     hall_.hold(id, name_);
     return c.respond(202, {}, R"({"cached_tokens":64})", true) && act != Act::HangUp;
   }
-  if (!hall_.take(id)) return c.respond(410, {{"Not-Started", "1"}}, "", true);
+  if (!waiting) return c.respond(410, {{"Not-Started", "1"}}, "", true);
+  hall_.first_token(id);
   if (!c.begin_stream(200, {{"content-type", "text/event-stream"}})) return false;
   const int events = events_;
   std::string all = answer(events);
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -21,7 +21,9 @@
 class LoopbackServer {
  public:
   using Serve = std::function<void(net::Stream)>;
-  explicit LoopbackServer(Serve serve, unsigned short port = 0);  // 0 lets the kernel choose
+  static constexpr int usual_backlog = 4096;
+  // Port 0 lets the kernel choose. Beyond `backlog` connections that wait, none comes up.
+  explicit LoopbackServer(Serve serve, unsigned short port = 0, int backlog = usual_backlog);
   ~LoopbackServer();
   std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
   unsigned short port() const { return listener_.port(); }
@@ -74,8 +76,11 @@
   // A read goes on, or has ended; while one goes on, a place can be granted.
   void reading(const std::string& id, bool on);
   bool grant(const std::string& id, const std::string& engine);
-  bool take(const std::string& id);  // a state to be fetched: whether there was one; places go too
-  void let_go(const std::string& id);
+  // A decode attempt waits for what is held; false where nothing is.
+  bool wait_for_state(const std::string& id);
+  void first_token(const std::string& id);   // of an attempt that waited: all that is held goes
+  void attempt_ends(const std::string& id);  // of one that waited; what it waited for stays held
+  void let_go(const std::string& id);        // all that no attempt waits for
   // A release is carried out only once a newer read has ended, or so much time has passed.
   void late_releases(int millis) { late_ = millis; }
   std::size_t held() const;
@@ -86,7 +91,7 @@
   std::condition_variable changed_;
   std::vector<Asked> asked_;
   std::map<std::string, std::set<std::string>> held_;
-  std::multiset<std::string> reading_, releasing_;
+  std::multiset<std::string> reading_, releasing_, waiting_;
   std::set<std::string> read_;  // with a state to be fetched
   std::atomic<int> late_ = 0;
 };
--- a/src/soak/engine_process.cpp
+++ b/src/soak/engine_process.cpp
@@ -27,9 +27,15 @@
 
 }  // namespace
 
-EngineProcess::EngineProcess(std::size_t number, Role role, const std::string& program, HeldState& held,
-                             Journal& journal, std::atomic<std::uint64_t>& attempts)
-    : number_(number), role_(role), program_(program), held_(held), journal_(journal), attempts_(attempts) {
+EngineProcess::EngineProcess(std::size_t number, Role role, const std::string& program, int backlog,
+                             HeldState& held, Journal& journal, std::atomic<std::uint64_t>& attempts)
+    : number_(number),
+      role_(role),
+      program_(program),
+      backlog_(backlog),
+      held_(held),
+      journal_(journal),
+      attempts_(attempts) {
   start();
 }
 
@@ -39,7 +45,8 @@
   auto [calls, engine_calls] = message_channel();
   auto [commands, engine_commands] = message_channel();
   const std::string role = role_ == Role::Prefill ? "prefill" : "decode";
-  pid_ = start_child({program_, "--engine", role, "--port", std::to_string(port_.load())},
+  pid_ = start_child({program_, "--engine", role, "--port", std::to_string(port_.load()), "--backlog",
+                      std::to_string(backlog_)},
                      {engine_calls.get(), engine_commands.get()});
   commands_ = std::move(commands);
   const bool first = port_ == 0;
--- a/src/soak/engine_process.hpp
+++ b/src/soak/engine_process.hpp
@@ -18,8 +18,9 @@
 class EngineProcess {
  public:
   // `program`: that runs an engine with --engine. Throws std::runtime_error where it can't be started.
-  EngineProcess(std::size_t number, Role role, const std::string& program, HeldState& held, Journal& journal,
-                std::atomic<std::uint64_t>& attempts);
+  // `backlog`: of the connections that its kernel takes before the engine does.
+  EngineProcess(std::size_t number, Role role, const std::string& program, int backlog, HeldState& held,
+                Journal& journal, std::atomic<std::uint64_t>& attempts);
   ~EngineProcess();
   EngineProcess(const EngineProcess&) = delete;
   EngineProcess& operator=(const EngineProcess&) = delete;
@@ -48,6 +49,7 @@
   const std::size_t number_;
   const Role role_;
   const std::string program_;
+  const int backlog_;
   HeldState& held_;
   Journal& journal_;
   std::atomic<std::uint64_t>& attempts_;
--- a/src/soak/engines.cpp
+++ b/src/soak/engines.cpp
@@ -69,8 +69,10 @@
   std::array<std::int64_t, events_each> event_micros{};
 };
 
-SoakEngine::SoakEngine(Role role, unsigned short port, EngineChannel& channel)
-    : role_(role), channel_(channel), server_([this](net::Stream s) { serve(std::move(s)); }, port) {}
+SoakEngine::SoakEngine(Role role, unsigned short port, int backlog, EngineChannel& channel)
+    : role_(role),
+      channel_(channel),
+      server_([this](net::Stream s) { serve(std::move(s)); }, port, backlog) {}
 
 SoakEngine::~SoakEngine() { stopping_ = true; }
 
@@ -216,10 +218,10 @@
   return true;
 }
 
-int run_engine(Role role, unsigned short port) {
+int run_engine(Role role, unsigned short port, int backlog) {
   end_with_parent();
   EngineChannel channel(calls_descriptor);
-  SoakEngine engine(role, port, channel);
+  SoakEngine engine(role, port, backlog, channel);
   channel.call(Kind::Listening, "", engine.port());
   heed_commands<EngineCommand>(commands_descriptor,
                                [&](const EngineCommand& command) { engine.set(command); });
--- a/src/soak/engines.hpp
+++ b/src/soak/engines.hpp
@@ -14,7 +14,7 @@
 class SoakEngine {
  public:
   // Listens at that port of 127.0.0.1; 0 lets the kernel choose.
-  SoakEngine(Role role, unsigned short port, EngineChannel& channel);
+  SoakEngine(Role role, unsigned short port, int backlog, EngineChannel& channel);
   ~SoakEngine();
   unsigned short port() const { return server_.port(); }
   void set(const EngineCommand& command);
@@ -48,6 +48,6 @@
 };
 
 // The main function of an engine process, over the descriptors that it inherits.
-int run_engine(Role role, unsigned short port);
+int run_engine(Role role, unsigned short port, int backlog);
 
 }  // namespace calicograde::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <filesystem>
 
+#include "lab/platform_standin.hpp"
 #include "net/socket.hpp"
 #include "soak/engines.hpp"
 #include "soak/fault_proxy.hpp"
@@ -17,6 +18,7 @@
   soak::Options options;
   std::string engine_role;
   unsigned short engine_port = 0;
+  int engine_backlog = lab::LoopbackServer::usual_backlog;
   std::vector<std::string> proxy_targets, only;
   std::uint64_t proxy_seed = 1;
   std::uint64_t first = 1, seeds = 1;
@@ -25,6 +27,7 @@
   app.add_option("--engine", engine_role, "be an engine of that role, started by a run")
       ->check(CLI::IsMember({"prefill", "decode"}));
   app.add_option("--port", engine_port, "where that engine listens; 0 = the kernel chooses");
+  app.add_option("--backlog", engine_backlog, "connections that wait at that engine, at the most");
   app.add_option("--proxy-target", proxy_targets, "be the proxy of a run, before these addresses");
   app.add_option("--proxy-seed", proxy_seed, "of that proxy");
   app.add_option("--only", only, "troubles to choose from, by their names in the tables; none = all");
@@ -33,11 +36,14 @@
   app.add_option("--seeds", seeds, "how many, counted up from the first");
   app.add_option("--seconds", seconds, "of each run");
   app.add_option("--nodes", options.nodes, "front nodes");
+  app.add_option("--prefill-engines", options.prefill_engines, "engines that read prompts");
+  app.add_option("--decode-engines", options.decode_engines, "engines that write answers");
   app.add_option("--keep", options.keep_logs_in, "folder for the logs of runs that failed");
   app.add_flag("--keep-all", options.keep_all_logs, "keep those of runs that passed, too");
   CLI11_PARSE(app, argc, argv);
   if (!engine_role.empty())
-    return soak::run_engine(engine_role == "prefill" ? soak::Role::Prefill : soak::Role::Decode, engine_port);
+    return soak::run_engine(engine_role == "prefill" ? soak::Role::Prefill : soak::Role::Decode, engine_port,
+                            engine_backlog);
   if (!proxy_targets.empty()) return soak::run_proxy(proxy_targets, proxy_seed);
   for (const std::string& name : only) {
     const auto trouble = soak::trouble_named(name);
--- a/src/soak/run_settings.cpp
+++ b/src/soak/run_settings.cpp
@@ -75,12 +75,13 @@
       out, sizeof out,
       "give up %.0f ms, pin %.0f, grace %.0f, window %.0f, classes %s %s %s, places %s, probes %s, "
       "cancelling %s, copies %s, attempts %d, proxied %s, late notice %s, granted %s, taken after %.0f ms, "
-      "ends heard after %.0f ms, quiet ends %s, drops at time %s, hangs on attempts alone %s",
+      "ends heard after %.0f ms, quiet ends %s, drops at time %s, hangs on attempts alone %s, accept queue "
+      "%d",
       give_up.as_millis(), pin_limit.as_millis(), drain_grace.as_millis(), dedupe_window.as_millis(),
       name_of(effects[0]), name_of(effects[1]), name_of(effects[2]), name_of(holds_places), name_of(probes),
       name_of(cancelling), name_of(second_copies), max_attempts, name_of(proxied), name_of(late_notice),
       name_of(place_answers), takes_late.as_millis(), ends_late.as_millis(), name_of(quiet_ends),
-      name_of(drops_at_time), name_of(hangs_on_attempts));
+      name_of(drops_at_time), name_of(hangs_on_attempts), accept_backlog);
   return out;
 }
 
@@ -110,6 +111,7 @@
   s.quiet_ends = likely(3);
   s.drops_at_time = likely(5);
   s.hangs_on_attempts = likely(5);
+  s.accept_backlog = one_of({4096, 4096, 2});
   return s;
 }
 
--- a/src/soak/run_settings.hpp
+++ b/src/soak/run_settings.hpp
@@ -34,6 +34,7 @@
   Span ends_late;              // decode engines hear so late that an attempt was given up
   bool quiet_ends = false;     // and then leave its connection open
   bool drops_at_time = false;  // they drop attempts without a word once the wait that they were told is over
+  int accept_backlog = 4096;   // beyond so many that wait, no connection to a stopped engine comes up
   bool hangs_on_attempts = false;  // engines that hang answer probes, releases and places all the same
 
   // How long after SIGTERM a node may be killed, by the protocol page.
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -99,8 +99,8 @@
         program_{options.daemon, options.fault_library, folder_.path(), settings_} {
     for (std::size_t k = 0; k < schedule_.engines; ++k) {
       const Role role = k < options.prefill_engines ? Role::Prefill : Role::Decode;
-      engines_.push_back(
-          std::make_unique<EngineProcess>(k, role, options.engine_program, held_, journal_, attempts_));
+      engines_.push_back(std::make_unique<EngineProcess>(
+          k, role, options.engine_program, settings_.accept_backlog, held_, journal_, attempts_));
     }
     for (const auto& engine : engines_) set_habits(*engine);
     if (settings_.proxied) start_proxy();
--- a/tests/program/stopped_engines_test.cpp
+++ b/tests/program/stopped_engines_test.cpp
@@ -103,6 +103,21 @@
   EXPECT_TRUE(result.passed) << result.report;
 }
 
+// Of engines that are stopped in the same second some take connections and begin nothing, and to others no
+// connection comes up any more: their accept queues are full.
+TEST(StoppedEngines, WhatIsHeldIsUsedOrLetGoWhileAcceptQueuesAreFull) {
+  RunSettings settings;
+  settings.place_answers = PlaceAnswers::Always;
+  settings.accept_backlog = 1;
+  const Result result = play(9861,
+                             {trouble_at(Trouble::RoleStop, 1200, 1800, a_decode_engine),
+                              trouble_at(Trouble::EngineStop, 1200, 1800, a_prefill_engine),
+                              trouble_at(Trouble::RoleStop, 4200, 1500, a_prefill_engine + 1),
+                              trouble_at(Trouble::EngineHang, 4200, 1500, a_decode_engine + 2)},
+                             settings);
+  EXPECT_TRUE(result.passed) << result.report;
+}
+
 TEST(StoppedEngines, PlacesAreLetGoThatAreGrantedAfterTheNodeWasToldToEnd) {
   RunSettings settings;
   settings.place_answers = PlaceAnswers::Always;
