--- a/src/soak/fault_proxy.cpp
+++ b/src/soak/fault_proxy.cpp
@@ -21,7 +21,9 @@
 using net::clock_now;
 
 constexpr int commands_descriptor = 3;
-constexpr Span connect_within = Span::millis(2000), write_within = Span::millis(5000);
+// An engine whose accept queue is full is not reached: what was written meanwhile must not reach it late.
+constexpr Span connect_within = Span::millis(200);
+constexpr Span write_within = Span::millis(5000);
 constexpr Span looks_every = Span::millis(20), late_start = Span::millis(150);
 constexpr useconds_t delay_us = 30000, between_pieces_us = 300;
 constexpr std::size_t piece_bytes = 40;
--- a/src/soak/held_state.cpp
+++ b/src/soak/held_state.cpp
@@ -75,6 +75,7 @@
 
 // "This lets go of every state and place that is held for the request and that no attempt waits for."
 void HeldState::release(const std::string& id) {
+  ++releases_;
   const std::lock_guard lock(mutex_);
   const auto it = held_.find(id);
   if (it == held_.end()) return;
--- a/src/soak/held_state.hpp
+++ b/src/soak/held_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -33,6 +34,7 @@
   void attempt_ends(const std::string& id, std::uint64_t attempt);
   void release(const std::string& id);
   void forget_engine(std::size_t engine);
+  std::size_t releases() const { return releases_; }  // that engines have taken
 
  private:
   struct Held {
@@ -50,6 +52,7 @@
   std::mutex mutex_;
   std::map<std::string, Held> held_;
   std::multiset<std::string> reading_;
+  std::atomic<std::size_t> releases_ = 0;
 };
 
 }  // namespace calicograde::soak
--- a/src/soak/journal.cpp
+++ b/src/soak/journal.cpp
@@ -1,5 +1,7 @@
 #include "soak/journal.hpp"
 
+#include <map>
+
 namespace calicograde::soak {
 
 const char* name_of(AnswerKind kind) {
@@ -56,6 +58,36 @@
   return teller.out;
 }
 
+namespace {
+
+struct CostCounter {
+  Cost cost = {};
+  std::map<std::string, Instant> sent = {};
+  Span first_tokens = {};
+
+  void operator()(const RequestSent& e) {
+    ++cost.requests;
+    sent[e.id] = e.at;
+  }
+  void operator()(const AttemptBegan& e) { ++(e.role == Role::Prefill ? cost.reads : cost.decode_attempts); }
+  void operator()(const RequestEnded& e) {
+    if (e.kind != AnswerKind::Stream || e.events_read.empty()) return;
+    ++cost.streams;
+    first_tokens = first_tokens + (e.events_read.front() - sent[e.id]);
+  }
+  void operator()(const auto&) {}
+};
+
+}  // namespace
+
+Cost cost_of(const std::vector<Entry>& entries) {
+  CostCounter counter;
+  for (const Entry& entry : entries) std::visit(counter, entry);
+  if (counter.cost.streams > 0)
+    counter.cost.mean_first_token = counter.first_tokens * (1.0 / static_cast<double>(counter.cost.streams));
+  return counter.cost;
+}
+
 void Journal::add(Entry entry) {
   const std::lock_guard lock(mutex_);
   entries_.push_back(std::move(entry));
--- a/src/soak/journal.hpp
+++ b/src/soak/journal.hpp
@@ -137,6 +137,13 @@
                            LifecycleTold, EngineStopped, EngineStarted, EngineWentOn, NodeStarted, NodeReady,
                            NodeTerminated, NodeEnded, ConnectionEnded, HalfRequest>;
 
+// What it took to answer the requests of a run.
+struct Cost {
+  std::size_t requests = 0, reads = 0, decode_attempts = 0, streams = 0;
+  Span mean_first_token;  // of the streams
+};
+Cost cost_of(const std::vector<Entry>& entries);
+
 // What was seen of one request, a line each; times are counted from `zero`.
 std::string story_of(const std::vector<Entry>& entries, const std::string& id, Instant zero);
 
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -23,6 +23,7 @@
   std::uint64_t proxy_seed = 1;
   std::uint64_t first = 1, seeds = 1;
   int seconds = 14;
+  bool calm = false;
   app.add_option("--daemon", options.daemon, "the calicograded to be played");
   app.add_option("--engine", engine_role, "be an engine of that role, started by a run")
       ->check(CLI::IsMember({"prefill", "decode"}));
@@ -39,6 +40,7 @@
   app.add_option("--prefill-engines", options.prefill_engines, "engines that read prompts");
   app.add_option("--decode-engines", options.decode_engines, "engines that write answers");
   app.add_option("--keep", options.keep_logs_in, "folder for the logs of runs that failed");
+  app.add_flag("--calm", calm, "no troubles: what an ordinary day costs");
   app.add_flag("--keep-all", options.keep_all_logs, "keep those of runs that passed, too");
   CLI11_PARSE(app, argc, argv);
   if (!engine_role.empty())
@@ -62,7 +64,9 @@
   double node_seconds = 0;
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
     try {
-      const soak::Result result = soak::run(seed, options);
+      const std::size_t engines = options.prefill_engines + options.decode_engines;
+      const soak::Schedule no_troubles{seed, options.nodes, engines, options.length, {}};
+      const soak::Result result = calm ? soak::run(no_troubles, options) : soak::run(seed, options);
       failed += !result.passed, node_seconds += result.node_seconds;
       std::printf("%s", result.report.c_str());
     } catch (const std::exception& problem) {
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -386,6 +386,10 @@
         << verdict.attempts;
     for (const auto& [kind, count] : verdict.answers) out << ", " << name_of(kind) << " " << count;
     out << ", held back " << verdict.streams_held_back << " of " << verdict.streams << "\n";
+    const Cost cost = cost_of(journal_.all());
+    out << "  requests " << cost.requests << ", reads " << cost.reads << ", decode attempts "
+        << cost.decode_attempts << ", releases " << held_.releases() << ", called off " << result.called_off
+        << ", first token after " << cost.mean_first_token.as_millis() << " ms\n";
     std::size_t told = 0;
     for (const Violation& v : verdict.violations)
       if (++told <= most_violations_told)
