A place that was asked for a moment ago keeps its engine when the read ends

Since places are asked for near the end of their read, a read may end a few milliseconds after its question. Whether an unanswered place counts as refused was told by how long the read had been out, so that the state went to another engine although the answer was on its way. It is told by how long the place has been asked for now. Found by reading the change again; Router.APlaceThatWasAskedForAMomentBeforeTheReadsEndKeepsItsEngine fails without it and holds the other side too (30 ms without an answer give way, as before).

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -153,7 +153,7 @@
     if (e.held) return;
     close(engines_[*f.place_at], f, full_memory);
     if (f.phase != Phase::Reading || f.places >= places_asked) return;
-    const auto next = next_writer(f, engine(f.sends.back().engine), tick, false);
+    const auto next = next_writer(f, engine(f.sends.back().engine), false);
     if (next) book_writer(f, *next), hold_place(f);
   }
 
@@ -450,35 +450,34 @@
   void read_done(Inference& f, const Send& s, const SendEnded& e) {
     if (Engine* eng = engine(s.engine)) learn(f, *eng, e.kept_tokens);
     if (f.phase == Phase::Answering) return;  // a second read, after the first one's state went on
-    f.state_at = s.engine, f.phase = Phase::Handing, hand_over(f, e.elapsed);
+    f.state_at = s.engine, f.phase = Phase::Handing, hand_over(f);
   }
 
   // The state goes to the booked writer; if that said full, left or is in doubt, to the next-lowest.
-  void hand_over(Inference& f, Span since_asked) {
+  void hand_over(Inference& f) {
     // A read that is still out, maybe at an engine that does not run, brings nothing that could be sent on.
     if (is_spent(f) && !f.out_at(false)) return finish(f, true);
     if (!may_send(f)) return give_up_if_idle(f);
     // After an engine that gave no sign there is no time for another that may give none.
     const bool silent_in_this_hold = f.no_sign_since && *f.no_sign_since >= f.held_since;
     if (silent_in_this_hold && pin_is_near(f) && !f.out_at(false)) return back_to_queue(f);
-    auto best = next_writer(f, engine(*f.state_at), since_asked, false);
+    auto best = next_writer(f, engine(*f.state_at), false);
     // Nor is anything gained by waiting where no engine is left that has not failed.
     const bool nobody_else = f.no_sign_since && !merely_full(f, false);
-    if (!best && (nobody_else || pin_is_near(f)))
-      best = next_writer(f, engine(*f.state_at), since_asked, true);
+    if (!best && (nobody_else || pin_is_near(f))) best = next_writer(f, engine(*f.state_at), true);
     if (!best) return;  // tried again by timer until the pin limit is near
     book_writer(f, *best);
     f.phase = Phase::Answering;
     send(f, *best, false);
   }
 
-  std::optional<EngineId> next_writer(const Inference& f, const Engine* from, Span since_asked, bool any) {
+  std::optional<EngineId> next_writer(const Inference& f, const Engine* from, bool any) {
     const auto measure = [&](const EngineId& id, const Engine& e) {
       if (!e.writes || !usable(f, id, e, any)) return never;
       // Nor is it out while its connection does not come up; a send out there may itself wait for one.
       if (now_ >= e.linked_until && !has_time_to_connect(f)) return never;
       // A place that nobody answered for while the read ran counts as refused: nobody hears there.
-      const bool refused = f.place_at == id && !f.place_held.value_or(since_asked < tick);
+      const bool refused = f.place_at == id && !f.place_held.value_or(now_ - f.place_asked < tick);
       const bool keeps = f.writer == id && !refused && !e.doubted && !f.failed_at.contains(id);
       if (!any && !keeps && (refused || writer_full(e, f))) return never;
       // Where one engine gave no sign, others may not run either: those that lately did come first.
@@ -511,7 +510,7 @@
     if (f.phase != Phase::Answering || f.out_at(false)) return;
     if (f.writer == s.engine) f.writer.reset();
     if (e.no_state) f.state_at.reset();
-    if (f.state_at) f.phase = Phase::Handing, hand_over(f, tick);
+    if (f.state_at) f.phase = Phase::Handing, hand_over(f);
     else if (f.out_at(true)) f.phase = Phase::Reading;
     else back_to_queue(f);
   }
@@ -992,7 +991,7 @@
   void look_after(Inference& f) {
     if (f.phase == Phase::Over || f.phase == Phase::Streaming) return;
     if (f.ends - now_ <= answer_margin) return finish(f);
-    if (f.phase == Phase::Handing && !f.out_at(false) && now_ >= f.not_before) hand_over(f, tick);
+    if (f.phase == Phase::Handing && !f.out_at(false) && now_ >= f.not_before) hand_over(f);
     if (f.phase == Phase::Handing && !f.out_at(false) && pin_is_near(f)) back_to_queue(f);
     hold_place_if_due(f);
     if (f.phase == Phase::Reading || f.phase == Phase::Answering) rescue(f);
@@ -1012,7 +1011,7 @@
       f.failed_at.insert(s.engine);
       if (may_copy(f) && s.to_reader) return second_read(f);
       cancel(f, f.sends[k]);  // its outcome brings the next send, if this does not
-      if (may_copy(f) && f.state_at) f.phase = Phase::Handing, hand_over(f, tick);
+      if (may_copy(f) && f.state_at) f.phase = Phase::Handing, hand_over(f);
       return;
     }
   }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -346,6 +346,20 @@
   EXPECT_EQ(w.broken, "");
 }
 
+TEST(Router, APlaceThatWasAskedForAMomentBeforeTheReadsEndKeepsItsEngine) {
+  for (const bool a_moment : {false, true}) {
+    World w(settings_with_places());
+    w.list(small_fleet());
+    w.arrive(1, 3000);
+    for (int k = 0; k < 500 && w.count<HoldPlace>() == 0; ++k) w.pass(ms(2));
+    const EngineId place = place_asked_for(w);
+    w.pass(ms(a_moment ? 4 : 30));
+    w.end(1, 0, EndedAs::ReadDone);
+    ASSERT_EQ(w.sends(1), 2u);
+    EXPECT_EQ(w.sent(1, 1).engine == place, a_moment);
+  }
+}
+
 // Nothing shows that a read is out before its end, and a place has to be released before the limit.
 TEST(Router, APlaceIsAskedForWhenLittleOfItsReadIsLeft) {
   for (const bool probes : {false, true}) {
