--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -101,10 +101,14 @@
 void PlatformHall::first_token(const std::string& id) {
   const std::lock_guard lock(mutex_);
   read_.erase(id), held_.erase(id);
+  end_wait(id);
 }
 void PlatformHall::attempt_ends(const std::string& id) {
   const std::lock_guard lock(mutex_);
-  waiting_.erase(waiting_.find(id));
+  end_wait(id);
+}
+void PlatformHall::end_wait(const std::string& id) {
+  if (const auto it = waiting_.find(id); it != waiting_.end()) waiting_.erase(it);
 }
 void PlatformHall::let_go(const std::string& id) {
   std::unique_lock lock(mutex_);
@@ -198,7 +202,10 @@
     PlatformHall& hall;
     const std::string id;
     Waiting(PlatformHall& h, std::string i) : hall(h), id(std::move(i)) {}
-    ~Waiting() { hall.attempt_ends(id); }
+    ~Waiting() {
+      if (!over) hall.attempt_ends(id);
+    }
+    bool over = false;
   };
   const bool has_state = !reader_ && hall_.wait_for_state(id);
   const auto waiting = has_state ? std::make_unique<Waiting>(hall_, id) : nullptr;
@@ -241,6 +248,7 @@
   }
   if (!waiting) return c.respond(410, {{"Not-Started", "1"}}, "", true);
   hall_.first_token(id);
+  waiting->over = true;
   if (!c.begin_stream(200, {{"content-type", "text/event-stream"}})) return false;
   const int events = events_;
   std::string all = answer(events);
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -87,6 +87,8 @@
   bool holds(const std::string& id) const;
 
  private:
+  void end_wait(const std::string& id);
+
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<Asked> asked_;
--- a/src/soak/engine_process.cpp
+++ b/src/soak/engine_process.cpp
@@ -136,7 +136,7 @@
       open_[call.number].fetched = has_state;  // from here on it may have had its effect
       return has_state;
     }
-    case Kind::FirstToken: held_.first_token(id); return 0;
+    case Kind::FirstToken: held_.first_token(id, call.number); return 0;
     case Kind::Release: held_.release(id); return 0;
   }
   return 0;
--- a/src/soak/held_state.cpp
+++ b/src/soak/held_state.cpp
@@ -55,11 +55,12 @@
 }
 
 // "`FirstByte` releases the rest."
-void HeldState::first_token(const std::string& id) {
+void HeldState::first_token(const std::string& id, std::uint64_t attempt) {
   const std::lock_guard lock(mutex_);
   const auto it = held_.find(id);
   if (it == held_.end()) return;
   Held& held = it->second;
+  held.attempts.erase(attempt);
   while (!held.states.empty()) drop_at(id, held.states, *held.states.begin());
   while (!held.places.empty()) drop_at(id, held.places, *held.places.begin());
   tidy(id);
--- a/src/soak/held_state.hpp
+++ b/src/soak/held_state.hpp
@@ -28,8 +28,8 @@
   // A decode engine has taken an attempt, which waits for the states of its request and for the place at its
   // engine from now on. False where there is no state: then it waits for nothing.
   bool attempt_begins(const std::string& id, std::size_t engine, std::uint64_t attempt);
-  // All that is held for the request goes.
-  void first_token(const std::string& id);
+  // All that is held for the request goes, and the attempt waits for nothing any more.
+  void first_token(const std::string& id, std::uint64_t attempt);
   // It waits for nothing any more; what it waited for stays held.
   void attempt_ends(const std::string& id, std::uint64_t attempt);
   void release(const std::string& id);
