--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -519,6 +519,75 @@
   int listener_ = -1, port_ = 0;
 };
 
+// ---- a proxy before an engine ---------------------------------------------------------------------------
+// Passes bytes and ends on, each connection by itself.
+class Proxy {
+ public:
+  explicit Proxy(int target) : target_(target) {
+    listener_ = listen_on_loopback(port_);
+    std::thread([this] { accept(); }).detach();
+  }
+  int port() const { return port_; }
+  // Whether the connection falls silent when this answer begins to come: it stays open, and nothing is passed on
+  // any more, either way.
+  std::function<bool(const std::string& first_bytes, const std::string& request)> falls_silent;
+  std::atomic<double> end_delay_ms = 0;     // of an end of the front node's, on its way to the engine
+  std::atomic<bool> ends_at_once = false;   // and the front node's side is ended in order at once
+
+ private:
+  void accept() {
+    for (;;) {
+      const int from = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      if (from < 0) continue;
+      std::thread([this, from] {
+        const int one = 1;
+        setsockopt(from, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+        const int to = connect_to(target_);
+        if (to >= 0) pass(from, to), ::close(to);
+        ::close(from);
+      }).detach();
+    }
+  }
+  void pass(int from, int to) {
+    bool silent = false, from_ended = false, to_ended = false;
+    double end_at = -1;
+    std::string request;
+    while (!(from_ended && to_ended)) {
+      pollfd p[2] = {{from_ended || silent ? -1 : from, POLLIN, 0}, {to_ended || silent ? -1 : to, POLLIN, 0}};
+      const int wait = end_at >= 0 ? static_cast<int>(std::max(0.0, end_at - now_ms()) + 0.999) : silent ? 1000 : -1;
+      ::poll(p, 2, wait);
+      if (end_at >= 0 && now_ms() >= end_at) end_at = -1, ::shutdown(to, SHUT_WR);
+      char bytes[16384];
+      if (p[0].revents != 0) {
+        const ssize_t n = ::recv(from, bytes, sizeof bytes, 0);
+        if (n > 0) {
+          request.assign(bytes, static_cast<std::size_t>(n));
+          if (!send_all(to, request)) return;
+        } else if (n == 0) {
+          from_ended = true, end_at = now_ms() + end_delay_ms;
+          if (ends_at_once) ::shutdown(from, SHUT_WR);
+        } else {
+          return;
+        }
+      }
+      if (p[1].revents != 0) {
+        const ssize_t n = ::recv(to, bytes, sizeof bytes, 0);
+        if (n > 0) {
+          const std::string got(bytes, static_cast<std::size_t>(n));
+          if (falls_silent && falls_silent(got, request)) silent = true;
+          else if (!send_all(from, got) && !from_ended) return;
+        } else if (n == 0) {
+          to_ended = true, ::shutdown(from, SHUT_WR);
+        } else {
+          return;
+        }
+      }
+    }
+  }
+  const int target_;
+  int listener_ = -1, port_ = 0;
+};
+
 // ---- discovery ------------------------------------------------------------------------------------------
 class Discovery {
  public:
@@ -547,6 +616,10 @@
   void list(const Engine& e, const std::string& lifecycle, long long started = 0) {
     change(e.id(), "127.0.0.1:" + std::to_string(e.port()), e.reads() ? "prefill" : "decode", lifecycle, started);
   }
+  // The engine is reached through a proxy.
+  void list(const Engine& e, const Proxy& through, const std::string& lifecycle) {
+    change(e.id(), "127.0.0.1:" + std::to_string(through.port()), e.reads() ? "prefill" : "decode", lifecycle);
+  }
   std::string whole() {
     const std::lock_guard lock(mutex_);
     return document(0, true);
