An engine's answer that can't be read and does not end is cut at 64 KiB

Callers saw: the front node was killed over its memory limit, and with it all that it had taken. Cause: ClientConnection's flat_buffer had no max_size. Until the parser has found the end of a chunk's header (or of a trailer) it consumes nothing, so all that an engine sent in its place was kept. Why it works: the buffer has an end. At it Beast answers buffer_overflow, which is none of the errors of a connection that was cut, so the answer counts as garbled: a failed attempt before the first event, an end without the last chunk behind it. All users of the class (tool servers, discovery, caches) have the bound.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 
-constexpr std::uint64_t largest_chunk = 16 << 20;  // of an answer: a claim above it is garbage
-constexpr int most_provisional = 8;                // 1xx answers before the one
+constexpr std::uint64_t largest_chunk = 16 << 20;      // of an answer: a claim above it is garbage
+constexpr int most_provisional = 8;                    // 1xx answers before the one
+constexpr std::size_t answer_buffer_bytes = 64 << 10;  // read of an answer and not parsed yet
 
 template <class Fields>
 Headers take_headers(const Fields& fields) {
@@ -197,7 +198,9 @@
 };
 
 ClientConnection::ClientConnection(net::Stream stream)
-    : stream_(std::move(stream)), parts_(std::make_unique<Parts>()) {}
+    : stream_(std::move(stream)), parts_(std::make_unique<Parts>()) {
+  parts_->buffer.max_size(answer_buffer_bytes);
+}
 ClientConnection::ClientConnection(ClientConnection&&) noexcept = default;
 ClientConnection& ClientConnection::operator=(ClientConnection&&) noexcept = default;
 ClientConnection::~ClientConnection() = default;
--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 
 #include "net/clock.hpp"
@@ -183,6 +184,9 @@
     while (!bytes.empty() && !ec) bytes.remove_prefix(c.stream().write_some(boost::asio::buffer(bytes), ec));
     return !ec;
   };
+  const auto endless = [&](std::string_view start, std::string_view piece) {
+    return send_endlessly(c.stream(), start, piece);
+  };
   const auto idle = [&] {  // until the other side ends it
     char drop[64];
     boost::system::error_code ec;
@@ -250,6 +254,7 @@
   hall_.first_token(id);
   waiting->over = true;
   if (!c.begin_stream(200, {{"content-type", "text/event-stream"}})) return false;
+  if (act == Act::EndlessSizeFirst) return endless("", std::string(4096, 'x'));
   const int events = events_;
   std::string all = answer(events);
   for (int k = 0; !all.empty(); ++k) {
@@ -269,6 +274,10 @@
         raw("C0000000\r\n");
         while (raw(std::string(4096, 'x'))) {}
         return false;
+      case Act::EndlessSize: return endless("", std::string(4096, 'x'));
+      case Act::EndlessDigits: return endless("", std::string(4096, '0'));
+      case Act::EndlessExtension: return endless("5;", std::string(4096, 'x'));
+      case Act::EndlessTrailer: return endless("0\r\n", "x: " + std::string(100, 'x') + "\r\n");
       default: break;
     }
   }
@@ -277,6 +286,21 @@
   return act != Act::HangUp;
 }
 
+bool PlatformEngine::send_endlessly(net::Stream& stream, std::string_view start, std::string_view piece) {
+  constexpr std::size_t enough = 64 << 20;  // for who must not take nearly as much
+  boost::system::error_code ec;
+  std::size_t sent = 0;
+  for (std::string_view rest = start; !ec && sent < enough;) {
+    stream.set_deadline(clock_now() + Span::millis(5000));
+    if (rest.empty()) rest = piece;
+    const std::size_t taken = stream.write_some(boost::asio::buffer(rest), ec);
+    rest.remove_prefix(taken);
+    sent += taken;
+  }
+  most_endless_bytes_ = std::max(most_endless_bytes_.load(), sent);
+  return false;
+}
+
 PlatformRegistry::PlatformRegistry() : server_([this](net::Stream s) { serve(std::move(s)); }) {}
 
 void PlatformRegistry::change(const std::string& instance, const std::string& host_port,
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -44,22 +44,27 @@
 // What an engine does with the next sends to it.
 enum class Act {
   Usual,
-  Error,        // 500
-  Full,         // 503, not started
-  NoState,      // 410, not started
-  Noise,        // no answer's head
-  EndlessHead,  // one that never ends
-  Provisional,  // 1xx before a good answer
-  InPieces,     // each event in several chunks
-  Behind,       // a second answer behind a good one
-  Silent,       // takes it and says nothing
-  CutAtOnce,    // breaks off without a word
-  CutMidway,    // after the first event
-  StallMidway,  // after the first event nothing more, the connection stays
-  BadSize,      // after the first event a chunk whose size can't be read
-  HugeChunk,    // after the first event a chunk of 3 GB that keeps coming
-  LateBreak,    // a read that ends well, its answer lost
-  HangUp,       // a good answer, then the connection is closed without a word
+  Error,             // 500
+  Full,              // 503, not started
+  NoState,           // 410, not started
+  Noise,             // no answer's head
+  EndlessHead,       // one that never ends
+  Provisional,       // 1xx before a good answer
+  InPieces,          // each event in several chunks
+  Behind,            // a second answer behind a good one
+  Silent,            // takes it and says nothing
+  CutAtOnce,         // breaks off without a word
+  CutMidway,         // after the first event
+  StallMidway,       // after the first event nothing more, the connection stays
+  BadSize,           // after the first event a chunk whose size can't be read
+  HugeChunk,         // after the first event a chunk of 3 GB that keeps coming
+  EndlessSize,       // after the first event a chunk's size that never ends
+  EndlessDigits,     // the same, all of it hexadecimal digits
+  EndlessExtension,  // after the first event a chunk whose extension never ends
+  EndlessTrailer,    // after the last chunk a trailer that never ends
+  EndlessSizeFirst,  // in place of the first event a chunk's size that never ends
+  LateBreak,         // a read that ends well, its answer lost
+  HangUp,            // a good answer, then the connection is closed without a word
 };
 
 // What the engines of one platform know together: what is held for which id, and what they were asked.
@@ -110,18 +115,21 @@
   void pause(bool on);
   int waiting() const { return waiting_; }  // of those
   int connections() const { return connections_; }
+  std::size_t most_endless_bytes() const { return most_endless_bytes_; }  // taken of one endless answer
   static std::string answer(int events);  // the stream's bytes, without its framing
 
  private:
   void serve(net::Stream stream);
   bool complete(const http::Request& r, http::ServerConnection& c, const std::string& id);
-  bool stream(Act act, http::ServerConnection& c);
+  // Until the other side takes no more. Always false: the connection is of no use then.
+  bool send_endlessly(net::Stream& stream, std::string_view start, std::string_view piece);
   Act next_act();
 
   const std::string name_;
   const bool reader_;
   PlatformHall& hall_;
   std::atomic<int> events_, connections_ = 0, waiting_ = 0;
+  std::atomic<std::size_t> most_endless_bytes_ = 0;
   std::mutex mutex_;
   std::condition_variable resumed_;
   bool paused_ = false;
