A request whose body has no clear length is refused, and its connection ends

Callers saw: what stood in one client's body reached engines as a request that no client had sent, and the request itself was answered 200 with an empty body. Cause: Boost.Beast's parser passes over a Transfer-Encoding that does not end in `chunked` and leaves the body empty; ClientFront counted that there was one Content-Length or Transfer-Encoding, not that it framed the body. Change: the check is made in ServerConnection::read, so that it holds for every server here (clients, messages, tools, admin): one Content-Length of digits, or `chunked` alone in HTTP/1.1, or neither. `gzip, chunked` is refused as well: its body would go on without the word that it is packed. Why it works: what can't be framed ends the connection with a 400, so nothing behind its head is read as a request (RFC 9112, 6.3).

--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -184,6 +184,9 @@
       return first.refuse(
           413, "the body is larger than " + std::to_string(core_.settings().http.body_bytes) + " bytes",
           visit);
+    case http::ReadEnd::BodyLengthUnclear:
+      return first.refuse(400, "send one Content-Length, or Transfer-Encoding: chunked and nothing else",
+                          visit);
     case http::ReadEnd::TimedOut: return first.refuse(408, "the request did not come whole in time", visit);
     case http::ReadEnd::NoRoom:
       return first.refuse(503, "too much is being asked at once; come again", visit);
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -33,6 +33,24 @@
   return out + "\r\n";
 }
 
+// One number, and no list of the same one.
+bool is_number(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+// Whether every receiver finds the same end of the body: one Content-Length, or Transfer-Encoding with
+// `chunked` alone, or neither (RFC 9112, 6.1 and 6.3). Codings beside `chunked` can't be undone here.
+bool body_length_is_clear(const bh::request_header<>& head) {
+  const auto lengths = head.count(bh::field::content_length);
+  const auto encodings = head.count(bh::field::transfer_encoding);
+  if (lengths + encodings > 1) return false;
+  if (lengths == 1) return is_number(head[bh::field::content_length]);
+  if (encodings == 0) return true;
+  constexpr unsigned first_version_with_chunks = 11;
+  return head.version() >= first_version_with_chunks &&
+         beast::iequals(head[bh::field::transfer_encoding], "chunked");
+}
+
 bool write_every(net::Stream& s, std::string_view bytes) {
   while (!bytes.empty()) {
     boost::system::error_code ec;
@@ -106,10 +124,13 @@
     if (ec == bh::error::end_of_stream || ec == boost::asio::error::eof ||
         ec == boost::asio::error::connection_reset || ec == bh::error::partial_message)
       return ReadEnd::Closed;
+    if (ec == bh::error::bad_content_length || ec == bh::error::bad_transfer_encoding)
+      return ReadEnd::BodyLengthUnclear;
     return ReadEnd::Malformed;
   };
   bh::read_header(stream_, parts_->buffer, parser, ec);
   if (ec) return end_of();
+  if (!body_length_is_clear(parser.get().base())) return ReadEnd::BodyLengthUnclear;
   // A body that is declared too large is told so before it is sent.
   if (const auto n = parser.content_length(); n && *n > limits_.body_bytes) return ReadEnd::BodyTooLarge;
   std::shared_ptr<void> room;
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -54,7 +54,16 @@
   std::shared_ptr<BodyRoom> room = {};  // null = no bound on all bodies together
 };
 
-enum class ReadEnd { Ok, Closed, Malformed, HeaderTooLarge, BodyTooLarge, TimedOut, NoRoom };
+enum class ReadEnd {
+  Ok,
+  Closed,
+  Malformed,
+  BodyLengthUnclear,  // where its body ends can't be told: what follows may be another request, or not
+  HeaderTooLarge,
+  BodyTooLarge,
+  TimedOut,
+  NoRoom
+};
 
 // The serving end of one connection. Not shared between threads.
 class ServerConnection {
--- a/src/node/client_front.cpp
+++ b/src/node/client_front.cpp
@@ -41,11 +41,9 @@
     if (request.method != (ready ? "GET" : "POST"))
       return fail(405, "use " + std::string(ready ? "GET" : "POST") + " here", visit);
     if (ready) return visit.connection.respond(visit.winding_down ? 503 : 200, {}, "", visit.keep_alive);
-    const auto lengths = http::header_count(request.headers, "content-length");
-    const auto encodings = http::header_count(request.headers, "transfer-encoding");
-    // Where two say how long a body is, another may hide in it.
-    if (lengths + encodings != 1)
-      return fail(lengths + encodings == 0 ? 411 : 400, "send one Content-Length", visit);
+    if (http::header(request.headers, "content-length").empty() &&
+        http::header(request.headers, "transfer-encoding").empty())
+      return fail(411, "send one Content-Length", visit);
     auto read = platform::read_request(request.headers, request.body.size(), names_);
     if (const auto* refusal = std::get_if<platform::Refusal>(&read))
       return fail(refusal->status, refusal->what, visit);
