Heads of very many short fields are refused before they are parsed

Cause: a head of 16 KiB holds some 4,000 fields of four bytes. Boost.Beast keeps a node of its own for each as long as the body is read, and the headers are copied as pairs of strings for as long as the request is in work. Change: HeadScanner finds the head's end in the raw bytes, in one pass, and refuses more than 100 fields (431) before a parser sees them. Heads of engines' answers have the same bound, which keeps a stream's parser small.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -18,7 +18,10 @@
 
 constexpr std::uint64_t largest_chunk = 16 << 20;      // of an answer: a claim above it is garbage
 constexpr int most_provisional = 8;                    // 1xx answers before the one
+constexpr std::size_t most_fields = 100;               // of a head
+constexpr std::size_t answer_head_bytes = 32 << 10;    // of one answer
 constexpr std::size_t answer_buffer_bytes = 64 << 10;  // read of an answer and not parsed yet
+constexpr std::size_t read_step_bytes = 4096;
 
 template <class Fields>
 Headers take_headers(const Fields& fields) {
@@ -33,6 +36,25 @@
   return out + "\r\n";
 }
 
+std::string_view text_in(const beast::flat_buffer& buffer) {
+  return {static_cast<const char*>(buffer.data().data()), buffer.size()};
+}
+
+// Reads until the whole head is in the buffer. Where it is too large, or has too many fields, the error is
+// header_limit.
+void read_whole_head(net::Stream& stream, beast::flat_buffer& buffer, std::size_t most_bytes,
+                     boost::system::error_code& ec) {
+  HeadScanner scanner(most_bytes, most_fields);
+  for (ec = {};;) {
+    const auto found = scanner.scan(text_in(buffer));
+    if (found == HeadScanner::Found::Whole) return;
+    if (found == HeadScanner::Found::TooLarge) return void(ec = bh::error::header_limit);
+    const std::size_t size = stream.read_some(buffer.prepare(read_step_bytes), ec);
+    if (ec) return;
+    buffer.commit(size);
+  }
+}
+
 // One number, and no list of the same one.
 bool is_number(std::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
@@ -80,6 +102,19 @@
   return text.data();
 }
 
+HeadScanner::Found HeadScanner::scan(std::string_view bytes) {
+  constexpr std::string_view end_of_head = "\r\n\r\n";
+  for (; scanned_ < bytes.size(); ++scanned_) {
+    if (scanned_ >= most_bytes_) return Found::TooLarge;
+    if (bytes[scanned_] != '\n') continue;
+    if (bytes.substr(0, scanned_ + 1).ends_with(end_of_head)) return Found::Whole;
+    ++lines_;
+    const std::size_t fields = lines_ - 1;  // the first line is none
+    if (fields > most_fields_) return Found::TooLarge;
+  }
+  return Found::Unfinished;
+}
+
 struct ServerConnection::Parts {
   beast::flat_buffer buffer;
   Instant made = net::clock_now();
@@ -111,7 +146,7 @@
   stream_.watch(-1);
   if (parts_->buffer.size() == 0) {
     stream_.set_deadline(idle_until());
-    const auto n = stream_.read_some(parts_->buffer.prepare(4096), ec);
+    const auto n = stream_.read_some(parts_->buffer.prepare(read_step_bytes), ec);
     if (ec) return ReadEnd::Closed;
     parts_->buffer.commit(n);
   }
@@ -128,7 +163,8 @@
       return ReadEnd::BodyLengthUnclear;
     return ReadEnd::Malformed;
   };
-  bh::read_header(stream_, parts_->buffer, parser, ec);
+  read_whole_head(stream_, parts_->buffer, limits_.header_bytes, ec);
+  if (!ec) bh::read_header(stream_, parts_->buffer, parser, ec);
   if (ec) return end_of();
   if (!body_length_is_clear(parser.get().base())) return ReadEnd::BodyLengthUnclear;
   // A body that is declared too large is told so before it is sent.
@@ -203,12 +239,17 @@
   beast::flat_buffer buffer;
   std::optional<bh::response_parser<bh::buffer_body>> parser;
   bool whole = true;
-  bool in_head = false;  // a head has begun to come: its parser goes on where a wait was broken off
   bool garbled = false;
   std::function<void(std::uint64_t, beast::string_view, boost::system::error_code&)> on_chunk =
       [this](std::uint64_t size, beast::string_view, boost::system::error_code& ec) {
         if (size > largest_chunk) ec = bh::error::body_limit;
       };
+  void begin_answer() {
+    parser.emplace();
+    parser->header_limit(answer_head_bytes);
+    parser->body_limit(boost::none);
+    parser->on_chunk_header(on_chunk);
+  }
   // Broken by the connection, or by what came on it.
   BodyEnd broken(const boost::system::error_code& ec) {
     const bool cut = ec == boost::asio::error::eof || ec == bh::error::end_of_stream ||
@@ -241,18 +282,13 @@
 BodyEnd ClientConnection::read_head(Response& out, Instant deadline) {
   stream_.set_deadline(deadline);
   for (int k = 0;; ++k) {
-    if (!std::exchange(parts_->in_head, true)) {
-      parts_->parser.emplace();
-      parts_->parser->header_limit(32 << 10);
-      parts_->parser->body_limit(boost::none);
-      parts_->parser->on_chunk_header(parts_->on_chunk);
-      parts_->garbled = false;
-    }
+    parts_->garbled = false;
     boost::system::error_code ec;
-    bh::read_header(stream_, parts_->buffer, *parts_->parser, ec);
+    read_whole_head(stream_, parts_->buffer, answer_head_bytes, ec);
     if (ec == boost::asio::error::timed_out) return BodyEnd::TimedOut;
     if (ec == boost::asio::error::operation_aborted) return BodyEnd::Aborted;
-    parts_->in_head = false;
+    parts_->begin_answer();
+    if (!ec) bh::read_header(stream_, parts_->buffer, *parts_->parser, ec);
     if (ec) return parts_->broken(ec);
     if (parts_->parser->get().result_int() / 100 != 1) break;
     if (k >= most_provisional) return parts_->garbled = true, BodyEnd::Broken;
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -44,6 +44,21 @@
   Instant received = {};  // its last byte, by this machine's kernel, where it may have lain for a while
 };
 
+// Finds the end of a message's head in what has come so far, before anything of it is parsed: what a parser
+// keeps of a field is many times larger than the shortest field.
+class HeadScanner {
+ public:
+  enum class Found { Unfinished, Whole, TooLarge };
+  HeadScanner(std::size_t most_bytes, std::size_t most_fields)
+      : most_bytes_(most_bytes), most_fields_(most_fields) {}
+  // `bytes`: all that has come of the message, those of earlier calls included.
+  Found scan(std::string_view bytes);
+
+ private:
+  const std::size_t most_bytes_, most_fields_;
+  std::size_t scanned_ = 0, lines_ = 0;
+};
+
 struct Limits {
   std::size_t header_bytes = 16 << 10, body_bytes = 4 << 20;
   Span idle = Span::millis(60000), head = Span::millis(10000), body = Span::millis(30000),
--- a/tests/program/node_rig.hpp
+++ b/tests/program/node_rig.hpp
@@ -42,6 +42,10 @@
         "rules":{"drain_grace":500.0,"cold":12000.0,"cold_from":0.25,"fall":1500.0,"fall_multiple":2.5}}})";
 }
 
+// For tests of memory: a sanitizer keeps what was freed for a while, which is not the node's.
+inline const std::vector<std::string> keep_nothing_freed = {
+    "ASAN_OPTIONS=quarantine_size_mb=0:thread_local_quarantine_size_kb=0"};
+
 struct Reply {
   int status = 0;      // 0 = the connection ended without an answer
   bool whole = false;  // the answer came to its end
@@ -106,6 +110,13 @@
   bool logged(const std::string& what) {
     return until([&] { return text().find(what) != std::string::npos; });
   }
+  long resident_kb() const {
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    std::string line;
+    while (std::getline(status, line))
+      if (line.starts_with("VmRSS:")) return std::stol(line.substr(6));
+    return 0;
+  }
   int ended() {
     int status = 0;
     if (!until([&] { return waitpid(pid, &status, WNOHANG) == pid; })) return -1;
