Nothing is begun for a client whose end may lie behind much that it sent and nobody read

Cause: "has the client left" was POLLRDHUP alone. The kernel queues an end in order: while the receive window is closed by unread bytes, the end waits on the client's side. Change: ServerConnection::look_at_client tells There, Gone or Unseen. It is asked before a request is taken and in the step of each write. Unseen at the first: 503, nothing was done; at a write: denied (Denial::ClientUnseen, counted), and the module ends the request. The CoreRace test names the connection in place of its descriptor; its assertions stay.

--- a/src/front/answering.cpp
+++ b/src/front/answering.cpp
@@ -31,8 +31,17 @@
 AnswerEnd Answering::run(Asked asked, const Terms& terms, Reader& reader) {
   // A request may have stood behind others, or its client have gone right after its last byte: nothing is
   // begun for who has left.
-  if (terms.client_fd >= 0 && net::hung_up(terms.client_fd)) return end_of(How::Left);
-  asked.client_fd = terms.client_fd;
+  if (terms.client) {
+    using Client = http::ServerConnection::Client;
+    const Client client = terms.client->look_at_client();
+    if (client == Client::Gone) return end_of(How::Left);
+    // It could have left as well: what it sent too much of is refused, and nothing was done for it.
+    if (client == Client::Unseen) {
+      core_.permissions().note(Denial::ClientUnseen, "begin request", asked.passed ? asked.passed->id : "");
+      return end_of(How::NotTaken);
+    }
+  }
+  asked.client = terms.client;
   const auto opened = core_.open(std::move(asked));
   if (!opened.ticket) {
     AnswerEnd out = end_of(How::NotTaken);
@@ -57,6 +66,7 @@
   AnswerEnd out = attend(opened.ticket, terms, reader);
   show(nullptr);
   out.inf = opened.ticket->inf();
+  out.attempted = opened.ticket->any_attempt_ordered();
   std::tie(out.ran, out.first_run) = opened.ticket->may_have_run();
   return out;
 }
@@ -74,13 +84,13 @@
 // Waits for what the module decides, with an eye on the client.
 AnswerEnd Answering::attend(const std::shared_ptr<Ticket>& held, const Terms& terms, Reader& reader) {
   Ticket& ticket = *held;
-  auto watch = std::make_unique<const Hangups::Watch>(core_.hangups(), terms.client_fd, held);
+  auto watch = std::make_unique<const Hangups::Watch>(core_.hangups(), terms.client_fd(), held);
   // A moment more than the budget: the module's own answer comes first.
   const Instant last = terms.ends + Span::millis(5);
   for (bool left = false;;) {
     Instant until = last;
     if (terms.waited) until = std::min(until, clock_now() + core_.settings().ping);
-    const auto waited = ticket.wait(terms.client_fd, until);
+    const auto waited = ticket.wait(terms.client_fd(), until);
     auto said = ticket.take();
     if (auto* stream = std::get_if<std::unique_ptr<EngineStream>>(&said))
       return watch.reset(), follow(ticket, std::move(*stream), terms, reader);
@@ -132,8 +142,8 @@
                              heard + settings.stream_silence + Span::millis(1));
     // Who does not stream has the budget for the whole answer.
     if (!terms.stream) until = std::min(until, terms.ends - write_margin);
-    const Next next = passes ? stream->next_bytes(bytes, until, terms.client_fd)
-                             : stream->next(chunk, until, terms.client_fd);
+    const Next next = passes ? stream->next_bytes(bytes, until, terms.client_fd())
+                             : stream->next(chunk, until, terms.client_fd());
     switch (next) {
       case Next::Chunk:
         heard = quiet = clock_now(), pieces += !passes && chunk.text.empty() && chunk.calls.empty() ? 0 : 1;
--- a/src/front/answering.hpp
+++ b/src/front/answering.hpp
@@ -29,6 +29,7 @@
   engines::Chunk last;           // the one that ended it
   Usage usage;
   InfId inf = 0;
+  bool attempted = false;  // engines may keep something under its id
   // Whether it may have run, and since when.
   bool ran = false;
   Instant first_run;
@@ -42,7 +43,9 @@
     Instant ends;         // of the budget
     bool stream = true;   // else the whole answer is wanted by `ends`
     bool waited = false;  // the asker has a stream open already, and is kept up while it waits
-    int client_fd = -1;   // hung up = left; -1 = nobody to watch
+    // Hung up = left; null = nobody to watch.
+    http::ServerConnection* client = nullptr;
+    int client_fd() const { return client ? client->stream().fd() : -1; }
   };
   class Reader {
    public:
--- a/src/front/asked.hpp
+++ b/src/front/asked.hpp
@@ -57,7 +57,8 @@
   bool repeat = false;         // the client marks it as one
   bool resumed = false;        // the client asks for the rest of an answer that broke
   bool key_taken = false;      // an inference before it holds the client's key: it is not asked for again
-  int client_fd = -1;          // its client's connection, open until the ticket forgets it; -1 = none
+  // Its client's connection, there until the ticket forgets it; null = nobody is watched.
+  http::ServerConnection* client = nullptr;
 };
 
 }  // namespace calicograde::front
--- a/src/front/core.cpp
+++ b/src/front/core.cpp
@@ -674,6 +674,7 @@
     const auto it = p.open.find(s.inf);
     if (it == p.open.end()) return false;
     auto control = std::make_shared<SendControl>();
+    it->second.ticket->attempt_ordered();
     if (s.leg != Leg::Read) it->second.ticket->write_ordered(clock_now());
     const bool begun =
         workers.submit([this, &p, s, ticket = it->second.ticket, control, gate = it->second.gate] {
@@ -788,6 +789,7 @@
     view.now = now, view.write_by = s.write_by;
     view.called_off = control.stopped();
     view.client_gone = demand == Ticket::Demand::ClientGone,
+    view.client_unseen = demand == Ticket::Demand::ClientUnseen;
     view.answered = demand == Ticket::Demand::Answered;
     view.effect_repeats = rules.effect != Effect::NonRetriable;
     view.to_prefill = s.leg == Leg::Read;
--- a/src/front/messages_front.cpp
+++ b/src/front/messages_front.cpp
@@ -298,8 +298,7 @@
   bool rounds_of(Message& m) {
     for (int round = 0;; ++round) {
       Answering answering(core_);
-      const Answering::Terms terms{m.rounds->ends(), m.call.stream, m.begun,
-                                   m.visit.connection.stream().fd()};
+      const Answering::Terms terms{m.rounds->ends(), m.call.stream, m.begun, &m.visit.connection};
       RoundReader reader(m);
       AnswerEnd end = answering.run(next_inference(m, round), terms, reader);
       if (end.how == AnswerEnd::How::Left && reader.garbage)
--- a/src/front/permissions.cpp
+++ b/src/front/permissions.cpp
@@ -9,6 +9,7 @@
     case Denial::None: return "none";
     case Denial::CalledOff: return "called off";
     case Denial::ClientGone: return "client gone";
+    case Denial::ClientUnseen: return "client unseen";
     case Denial::Answered: return "answered";
     case Denial::TimeOver: return "time over";
     case Denial::EngineUnknown: return "engine unknown";
@@ -39,6 +40,7 @@
 Denial may_write_attempt(const AttemptView& view) {
   if (view.called_off) return Denial::CalledOff;
   if (view.client_gone) return Denial::ClientGone;
+  if (view.client_unseen) return Denial::ClientUnseen;
   if (view.answered) return Denial::Answered;
   if (view.now >= view.write_by) return Denial::TimeOver;
   if (!view.engine.listed) return Denial::EngineUnknown;
--- a/src/front/permissions.hpp
+++ b/src/front/permissions.hpp
@@ -19,6 +19,7 @@
   None,               // it may be done
   CalledOff,          // the module has called the attempt off
   ClientGone,         // the client has closed its connection
+  ClientUnseen,       // so much that it has sent lies unread that its end of the connection could not be seen
   Answered,           // the request has its answer, or a stream that answers it
   TimeOver,           // the attempt's time, or the window in which a repeat is dropped, is over
   EngineUnknown,      // it is not listed, or has gone
@@ -40,7 +41,7 @@
 // Whether an attempt's first byte may be written now.
 struct AttemptView {
   Instant now, write_by;
-  bool called_off = false, client_gone = false, answered = false;
+  bool called_off = false, client_gone = false, client_unseen = false, answered = false;
   bool effect_repeats = true;   // engines drop a second effect, or there is none
   int others_may_have_run = 0;  // attempts of the same request
   bool to_prefill = false;      // a read has no effect
--- a/src/front/ticket.cpp
+++ b/src/front/ticket.cpp
@@ -61,14 +61,30 @@
 
 void Ticket::forget_client() {
   const std::lock_guard lock(mutex_);
-  client_fd_ = -1;
+  client_ = nullptr;
 }
 
 Ticket::Demand Ticket::demand() const {
   const std::lock_guard lock(mutex_);
   if (left_ || claim_.state() == Claim::State::Left) return Demand::ClientGone;
   if (claim_.state() != Claim::State::Open) return Demand::Answered;
-  return client_fd_ >= 0 && net::hung_up(client_fd_) ? Demand::ClientGone : Demand::Waiting;
+  if (!client_) return Demand::Waiting;
+  switch (client_->look_at_client()) {
+    case http::ServerConnection::Client::Gone: return Demand::ClientGone;
+    case http::ServerConnection::Client::Unseen: return Demand::ClientUnseen;
+    case http::ServerConnection::Client::There: break;
+  }
+  return Demand::Waiting;
+}
+
+void Ticket::attempt_ordered() {
+  const std::lock_guard lock(mutex_);
+  attempt_ordered_ = true;
+}
+
+bool Ticket::any_attempt_ordered() const {
+  const std::lock_guard lock(mutex_);
+  return attempt_ordered_;
 }
 
 std::uint8_t Ticket::streaming_send() const {
--- a/src/front/ticket.hpp
+++ b/src/front/ticket.hpp
@@ -30,7 +30,7 @@
   Ticket(InfId inf, Instant opened, std::size_t pool, Asked asked)
       : inf_(inf), opened_(opened), pool_(pool), asked_(std::move(asked)) {
     usage_.prompt_tokens = asked_.prompt_tokens;
-    client_fd_ = asked_.client_fd;
+    client_ = asked_.client;
   }
   InfId inf() const { return inf_; }
   Instant opened() const { return opened_; }
@@ -47,13 +47,13 @@
   // The client's thread gives up. True if the module must hear that the client left.
   bool leave();
   std::uint8_t streaming_send() const;
-  // The client's thread: from now on the client's descriptor may be closed.
+  // The client's thread: from now on it reads from the client's connection again, or ends it.
   void forget_client();
 
   // Others:
   // The last look before an attempt is written, in the same step as the write: whether the client still waits
   // for one, whoever else has heard of its leaving so far.
-  enum class Demand { Waiting, Answered, ClientGone };
+  enum class Demand { Waiting, Answered, ClientGone, ClientUnseen };
   Demand demand() const;
   // Others: whoever claims first speaks to the client.
   bool claim_stream(std::uint8_t send);
@@ -62,6 +62,9 @@
   // Writes that were ordered and not proven unrun since: whether the inference may have run, and since when.
   void write_ordered(Instant now);
   void write_unrun();
+  // An attempt of either leg was ordered: from here on engines may keep something under the request's id.
+  void attempt_ordered();
+  bool any_attempt_ordered() const;
   int writes() const;                      // ordered, and not proven unrun
   std::optional<Instant> left_at() const;  // when its client was heard to have hung up
   std::pair<bool, Instant> may_have_run() const;
@@ -80,9 +83,10 @@
   std::optional<Instant> left_at_;
   Claim claim_;
   bool left_ = false;
-  int client_fd_ = -1;
+  http::ServerConnection* client_ = nullptr;
   Usage usage_;
   int writes_ = 0;
+  bool attempt_ordered_ = false;
   Instant first_write_;
   std::optional<Final> final_;
   std::unique_ptr<EngineStream> stream_;
--- a/src/front/tool_calls.cpp
+++ b/src/front/tool_calls.cpp
@@ -201,7 +201,7 @@
   asked.shared_text = intake::shared_key(route.model, prompt.system);
   asked.ends = std::min(order.ends, clock_now() + route.timeout);
   core_.set_prompt(asked, std::move(prompt), tool.system.size());
-  const Answering::Terms terms{asked.ends, false, false, -1};
+  const Answering::Terms terms{asked.ends, false, false, nullptr};
   Answering answering(core_);
   {
     const std::lock_guard lock(post.mutex);
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -128,6 +128,17 @@
 }
 ServerConnection::~ServerConnection() = default;
 
+ServerConnection::Client ServerConnection::look_at_client() {
+  auto& buffer = parts_->buffer;
+  for (;;) {
+    if (stream_.peer_left()) return Client::Gone;
+    if (!net::may_hide_hang_up(stream_.fd())) return Client::There;
+    if (buffer.size() + read_step_bytes > buffer.max_size()) return Client::Unseen;
+    const auto room = buffer.prepare(read_step_bytes);
+    buffer.commit(stream_.read_now(room.data(), room.size()));
+  }
+}
+
 bool ServerConnection::behind() const { return parts_->buffer.size() > 0; }
 
 Instant ServerConnection::by_whole(Instant usual, Instant from, bool holds) const {
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -91,6 +91,10 @@
   ReadEnd read(Request& out);
   // Until when the next request's first byte is waited for, counted from now.
   Instant idle_until() const;
+  // Whether the client can still be seen to be there, once its request was read. Where it has sent so much
+  // more that its end of the connection could hide behind that, some of it is read ahead first.
+  enum class Client { There, Gone, Unseen };
+  Client look_at_client();
   // Whether bytes behind the last request are here already.
   bool behind() const;
   // Each returns false when the client did not take it within `write`; the connection is of no use then.
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -297,6 +297,24 @@
 
 bool hung_up(int fd) { return look(fd, POLLRDHUP).value_or(false); }
 
+bool may_hide_hang_up(int fd) {
+  int unread = 0;
+  if (::ioctl(fd, FIONREAD, &unread) != 0 || unread == 0) return false;
+  int room = 0;
+  socklen_t size = sizeof room;
+  if (getsockopt(fd, SOL_SOCKET, SO_RCVBUF, &room, &size) != 0) return true;
+  // Half of the room is for the kernel's own books; of the rest it offers more while half of it is free.
+  constexpr int open_part = 4;
+  return unread > room / open_part;
+}
+
+std::size_t Stream::read_now(void* to, std::size_t most) {
+  const ssize_t n = ::recv(fd_.get(), to, most, MSG_DONTWAIT);
+  if (n <= 0) return 0;
+  bytes_read_ += static_cast<std::size_t>(n);
+  return static_cast<std::size_t>(n);
+}
+
 std::size_t Stream::read(void* to, std::size_t most, boost::system::error_code& ec) {
   ec = {};
   LocalRetry retry(deadline_);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -90,6 +90,8 @@
   bool broken() const { return broken_; }
   // Whether the other side has closed its end; what it sent before may still be unread.
   bool peer_left() const;
+  // What has come and fits, without a wait: 0 where nothing has.
+  std::size_t read_now(void* to, std::size_t most);
   // Whether the other side's machine has acknowledged all that was written; none where the kernel can't tell.
   std::optional<bool> acknowledged() const;
   // How long ago the last byte from the other side came to this machine; none where the kernel can't tell.
@@ -194,6 +196,10 @@
 // now.
 bool hung_up(int fd);
 
+// Whether so much from the peer lies unread that this machine may take no more: an end that the peer has
+// given would come behind it, and not be seen.
+bool may_hide_hang_up(int fd);
+
 // Waits until one of the descriptors is ready, or the deadline is over: how many are. A wait that is
 // interrupted, or that fails for a lack of memory, goes on.
 int wait_ready(pollfd* descriptors, std::size_t count, Instant deadline);
--- a/src/node/client_front.cpp
+++ b/src/node/client_front.cpp
@@ -89,7 +89,7 @@
                                                          std::move(request.body), std::move(request.room));
     Passing passing(visit, *asked.passed);
     front::Answering answering(core_);
-    const front::Answering::Terms terms{asked.ends, true, false, visit.connection.stream().fd()};
+    const front::Answering::Terms terms{asked.ends, true, false, &visit.connection};
     const AnswerEnd end = answering.run(std::move(asked), terms, passing);
     id_in_use.begun = end.how != How::NotTaken;
     if (passing.begun) {
--- a/tests/program/node_race_test.cpp
+++ b/tests/program/node_race_test.cpp
@@ -287,12 +287,13 @@
   CoreRig rig;
   net::Listener listener(net::Address{"127.0.0.1", 0});
   auto client = net::Stream::connect({"127.0.0.1", listener.port()}, clock_now() + Span::millis(5000)).second;
-  const auto served = listener.accept(clock_now() + Span::millis(5000));
-  ASSERT_TRUE(served);
+  auto accepted = listener.accept(clock_now() + Span::millis(5000));
+  ASSERT_TRUE(accepted);
+  http::ServerConnection served(std::move(*accepted), {});
   client.close();
-  ASSERT_TRUE(until([&] { return served->peer_left(); }));
+  ASSERT_TRUE(until([&] { return served.stream().peer_left(); }));
   auto asked = CoreRig::asked("gone");
-  asked.client_fd = served->fd();
+  asked.client = &served;
   const auto opened = rig.core.open(std::move(asked));
   ASSERT_TRUE(opened.ticket);
   EXPECT_EQ(opened.ticket->wait(-1, clock_now() + Span::millis(5000)), net::Waited::Woken);
