A flood of ids that reach no engine pushes no id out that ran

Tried on real processes: a request runs, one client sends 12,000 further ids with 1 ms each on one connection (0.6 s), and the first id comes again: on it is answered 200 a second time. Cause: RequestIds keeps the last 8,192 ids, also those for which no engine was ever asked anything, so any client can push out what ran within the minute in which it must be refused.

--- a/src/node/client_front.cpp
+++ b/src/node/client_front.cpp
@@ -24,7 +24,7 @@
 struct IdInUse {
   RequestIds& ids;
   const std::string& id;
-  bool begun = true;  // false: nothing was taken under it
+  bool begun = true;  // false: no engine was asked anything under it
   ~IdInUse() { begun ? ids.end(id, net::clock_now()) : ids.forget(id); }
 };
 
@@ -91,7 +91,7 @@
     front::Answering answering(core_);
     const front::Answering::Terms terms{asked.ends, true, false, &visit.connection};
     const AnswerEnd end = answering.run(std::move(asked), terms, passing);
-    id_in_use.begun = end.how != How::NotTaken;
+    id_in_use.begun = end.attempted;
     if (passing.begun) {
       // What broke ends without its last chunk; the server ends the connection.
       return end.how == How::Completed && visit.connection.end_stream();
