A stream is given up 4.85 s after its engine's last event, not 4.5 s

Tried on real processes: an engine with 4.75 s between events: on the client gets the first event and the connection ends. Cause: stream_silence was 4.5 s.

--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -258,6 +258,7 @@
   const int events = events_;
   std::string all = answer(events);
   for (int k = 0; !all.empty(); ++k) {
+    if (k > 0) std::this_thread::sleep_for(std::chrono::microseconds(event_pause_micros_));
     const auto end = all.find("\n\n") + 2;
     const std::size_t step = act == Act::InPieces ? 7 : end;
     for (std::size_t at = 0; at < end; at += step) {
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -111,6 +111,7 @@
   bool reader() const { return reader_; }
   void next(Act act, int times = 1);
   void events(int count) { events_ = count; }
+  void pause_between_events(Span pause) { event_pause_micros_ = pause.as_micros(); }
   // While paused, requests that have come wait before they are dealt with.
   void pause(bool on);
   int waiting() const { return waiting_; }  // of those
@@ -129,6 +130,7 @@
   const bool reader_;
   PlatformHall& hall_;
   std::atomic<int> events_, connections_ = 0, waiting_ = 0;
+  std::atomic<std::int64_t> event_pause_micros_ = 0;
   std::atomic<std::size_t> most_endless_bytes_ = 0;
   std::mutex mutex_;
   std::condition_variable resumed_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -46,6 +46,10 @@
 // An engine's second answer to one request follows its first within some milliseconds.
 constexpr Span second_answer_within = Span::millis(20);
 
+// A client may not be left waiting so long after its engine's last event, and an engine that writes sooner
+// may not be cut off; between a look at the clock and an act this process may be held up for a while.
+constexpr Span client_wait_after_event = Span::millis(5000), held_up_most = Span::millis(150);
+
 // For those who look for a fault: info unless the environment names another level.
 Level log_level() {
   const char* const named = std::getenv("CALICOGRADE_LOG_LEVEL");
@@ -250,8 +254,7 @@
   f.http.room = std::make_shared<http::BodyRoom>(shares.body_bytes);
   f.connections = shares.connections, f.held = shares.inferences, f.sends = shares.sends;
   f.short_asks = shares.short_asks, f.queue = 4096, f.stack = shares.stack;
-  // A client may not be left waiting 5 s after its engine's last event.
-  f.stream_silence = Span::millis(4500), f.stop = Span::millis(120000);
+  f.stream_silence = client_wait_after_event - held_up_most, f.stop = Span::millis(120000);
   settings::Pool pool;
   pool.name = "engines", pool.routing = c.told.settings, pool.connect = c.told.settings.connect;
   pool.drain_grace = c.drain_grace;
