A discovery that answers slowly is waited for beside newer watches, and heard

Cause: Follower gave each watch up after 1 s without the head of its answer and opened it anew with the same limit, so no slow answer was ever heard. Change: after 1 s another watch is opened beside the one that has not answered, since that one may have fallen silent; both are waited for, up to four and 6 s each, and the first that answers is read. A move of discovery drops them. Which watch is slow and which is silent need not be guessed. The tests of two silent watches in a row and of a registry that comes back pass unchanged.

--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -332,6 +332,10 @@
   mute_ = on;
   changed_.notify_all();
 }
+void PlatformRegistry::answer_after(Span delay) {
+  const std::lock_guard lock(mutex_);
+  answer_delay_ = delay;
+}
 void PlatformRegistry::say(const std::string& raw) {
   const std::lock_guard lock(mutex_);
   said_.push_back(raw);
@@ -355,7 +359,9 @@
   std::unique_lock lock(mutex_);
   std::size_t said = said_.size();
   const auto gone = [&] { return server_.stopping() || c.stream().peer_left(); };
-  while (mute_ && !gone()) changed_.wait_for(lock, std::chrono::milliseconds(50));
+  const Instant answer_at = clock_now() + answer_delay_;
+  while ((mute_ || clock_now() < answer_at) && !gone())
+    changed_.wait_for(lock, std::chrono::milliseconds(50));
   if (gone() || !c.begin_stream(200, {})) return;
   if (silent_watches_ > 0) {
     --silent_watches_;
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -149,6 +149,7 @@
               const std::string& state, long long started = 0);
   std::string list() const;          // the whole, as JSON
   void mute(bool on);                // no line, not even an empty one
+  void answer_after(Span delay);     // each new watch, from now on
   void say(const std::string& raw);  // that line, to all that watch
   // The next watches say this after their head, and nothing more.
   void silent_watches(int count, const std::string& first_bytes = "");
@@ -168,6 +169,7 @@
   std::uint64_t version_ = 1;
   std::vector<std::string> said_;
   bool mute_ = false;
+  Span answer_delay_;
   int silent_watches_ = 0;
   std::string first_bytes_;
   std::atomic<int> watches_ = 0;
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -1,9 +1,13 @@
 #include "node/follower.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include "net/clock.hpp"
 #include "platform/objects.hpp"
@@ -33,18 +37,24 @@
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
-    if (open_) open_->shut();
+    shut_watches();
     changed_.notify_all();
   }
   if (thread_.joinable()) thread_.join();
 }
 
+// Under the lock. Whoever waits for them finds their end.
+void Follower::shut_watches() {
+  if (open_) open_->shut();
+  for (const auto& watch : unanswered_) watch.link.stream().shut();
+}
+
 void Follower::known(const platform::Listing& listing) { take(listing, ListScope::Cached); }
 
 void Follower::follow(const net::Address& at) {
   const std::lock_guard lock(mutex_);
   at_ = at, ++moves_;
-  if (open_) open_->shut();
+  shut_watches();
   changed_.notify_all();
   if (!thread_.joinable()) thread_ = std::thread([this] { run(); });
 }
@@ -62,7 +72,7 @@
     {
       const std::lock_guard lock(mutex_);
       if (stopping_) return;
-      if (seen != moves_) failed = 0;
+      if (seen != moves_) failed = 0, unanswered_.clear();  // those are elsewhere
       at = *at_, seen = moves_;
     }
     failed = watch(at) ? 0 : std::min(failed + 1, 8);
@@ -78,41 +88,97 @@
 // Hundreds of nodes lose their watches together: they come back one after the other.
 Span Follower::spread(Span mean) { return mean * std::uniform_real_distribution<double>(0.5, 1.5)(random_); }
 
-bool Follower::watch(const net::Address& at) {
+bool Follower::follows(const net::Address& at) {
+  const std::lock_guard lock(mutex_);
+  return !stopping_ && *at_ == at;
+}
+
+// Whether it was asked for; its answer is waited for with those of the watches before it.
+bool Follower::open_watch(const net::Address& at) {
   spare_.refill();
   auto [how, stream] = net::Stream::connect(at, clock_now() + rules_.connect);
   if (how == net::ConnectEnd::Local && spare_.release())
     std::tie(how, stream) = net::Stream::connect(at, clock_now() + rules_.connect);
   if (how != net::ConnectEnd::Connected)
     return core_.log().line(Level::Warn, "registry not reached", {{"at", net::text_of(at)}}), false;
-  http::ClientConnection link(std::move(stream));
-  {
-    const std::lock_guard lock(mutex_);
-    if (stopping_ || *at_ != at) return false;
-    open_ = &link.stream();
+  Watches opened;
+  opened.push_back({http::ClientConnection(std::move(stream)), clock_now()});
+  const std::string target = "/registry/instances?follow=1&since=" + std::to_string(version_);
+  if (!opened.back().link.ask("GET", target, {{"Host", "registry"}}, "", clock_now() + rules_.answer))
+    return false;
+  const std::lock_guard lock(mutex_);
+  if (stopping_ || *at_ != at) return false;
+  unanswered_.splice(unanswered_.end(), opened);
+  return true;
+}
+
+// True where the head is here. A watch that was refused, or is none, is dropped.
+bool Follower::read_answer_head(Watches::iterator watch, Instant deadline) {
+  http::Response head;
+  const BodyEnd end = watch->link.read_head(head, deadline);
+  if (end == BodyEnd::TimedOut) return false;
+  if (end == BodyEnd::Done && head.status == 200) return true;
+  const std::lock_guard lock(mutex_);
+  unanswered_.erase(watch);
+  return false;
+}
+
+// The first of the watches whose answer begins; the others are dropped then.
+std::optional<http::ClientConnection> Follower::first_answered(Instant deadline) {
+  while (!unanswered_.empty()) {
+    std::vector<pollfd> readable;
+    for (const auto& watch : unanswered_) readable.push_back({watch.link.stream().fd(), POLLIN, 0});
+    if (net::wait_ready(readable.data(), readable.size(), deadline) == 0) return std::nullopt;
+    auto watch = unanswered_.begin();
+    for (const auto& ready : readable) {
+      const auto next = std::next(watch);
+      if (ready.revents != 0 && read_answer_head(watch, deadline)) {
+        const std::lock_guard lock(mutex_);
+        std::optional<http::ClientConnection> link(std::move(watch->link));
+        unanswered_.clear();
+        return link;
+      }
+      watch = next;
+    }
   }
-  bool told = false;
-  const bool sound = read_objects(link, told);
-  {
+  return std::nullopt;
+}
+
+void Follower::drop_stale_watches() {
+  const Instant now = clock_now();
+  const std::lock_guard lock(mutex_);
+  while (!unanswered_.empty() && (unanswered_.size() >= rules_.most_unanswered ||
+                                  now - unanswered_.front().asked >= rules_.slow_answer))
+    unanswered_.pop_front();
+}
+
+// Whether a watch was served, and ended as one.
+bool Follower::watch(const net::Address& at) {
+  drop_stale_watches();
+  const bool opened = open_watch(at);
+  if (!opened && unanswered_.empty()) return false;
+  auto link = first_answered(clock_now() + rules_.answer);
+  bool sound = false;
+  if (link) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (stopping_ || *at_ != at) return false;
+      open_ = &link->stream();
+    }
+    sound = read_objects(*link);
     const std::lock_guard lock(mutex_);
     open_ = nullptr;
-    if (stopping_ || *at_ != at) return told;
   }
+  if (!follows(at)) return link.has_value();
   core_.log().line(Level::Warn, "registry's watch opened anew",
-                   {{"at", net::text_of(at)}, {"sound", std::int64_t{sound}}});
-  return told && sound;
+                   {{"at", net::text_of(at)},
+                    {"sound", std::int64_t{sound}},
+                    {"unanswered", static_cast<std::int64_t>(unanswered_.size())}});
+  return sound;
 }
 
-// False: what came was no watch. `told`: its answer began.
-bool Follower::read_objects(http::ClientConnection& link, bool& told) {
-  http::Response head;
-  const Instant until = clock_now() + rules_.answer;
-  const std::string target = "/registry/instances?follow=1&since=" + std::to_string(version_);
-  if (!link.ask("GET", target, {{"Host", "registry"}}, "", until) ||
-      link.read_head(head, until) != BodyEnd::Done)
-    return true;
-  if (head.status != 200) return false;
-  told = true;
+// Until its end. False: what came was no watch.
+bool Follower::read_objects(http::ClientConnection& link) {
   platform::Objects objects(longest_object);
   for (Instant last = clock_now();;) {
     std::string bytes;
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <list>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -23,8 +24,12 @@
   struct Rules {
     // What is missed counts as told 6 s after the watch fell silent or the registry could be reached again:
     // two watches that fall silent one after the other, the pauses, and a third call must fit.
-    Span silence = Span::millis(2500);                               // an empty line comes every 2 s
-    Span connect = Span::millis(500), answer = Span::millis(1000);   // the head of a new watch
+    Span silence = Span::millis(2500);  // an empty line comes every 2 s
+    Span connect = Span::millis(500);
+    // After so long without the head of a new watch's answer another one is opened beside it: the first may
+    // have fallen silent. It may be slow as well, so it is waited for as long as a change may stay unheard.
+    Span answer = Span::millis(1000), slow_answer = Span::millis(6000);
+    std::size_t most_unanswered = 4;                                 // watches; the oldest goes first
     Span soon = Span::millis(40);                                    // after a watch that had served
     Span again = Span::millis(200), again_most = Span::millis(800);  // after one that had not, once more each
   };
@@ -41,8 +46,20 @@
 
  private:
   void run();
+  // A new watch whose answer has not begun.
+  struct Unanswered {
+    http::ClientConnection link;
+    Instant asked;
+  };
+  using Watches = std::list<Unanswered>;
   bool watch(const net::Address& at);
-  bool read_objects(http::ClientConnection& link, bool& told);
+  bool open_watch(const net::Address& at);
+  std::optional<http::ClientConnection> first_answered(Instant deadline);
+  bool read_answer_head(Watches::iterator watch, Instant deadline);
+  void drop_stale_watches();
+  bool follows(const net::Address& at);
+  void shut_watches();
+  bool read_objects(http::ClientConnection& link);
   bool take_object(const std::string& object);
   Span spread(Span mean);
   void take(const platform::Listing& listing, ListScope scope);
@@ -63,8 +80,9 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::optional<net::Address> at_;
-  std::uint64_t moves_ = 0;  // follow() calls
-  const net::Stream* open_ = nullptr;
+  std::uint64_t moves_ = 0;            // follow() calls
+  const net::Stream* open_ = nullptr;  // of the watch that is read
+  Watches unanswered_;                 // changed by the thread alone
   bool stopping_ = false, heard_ = false;
   std::thread thread_;
 };
--- a/tests/program/node_race_test.cpp
+++ b/tests/program/node_race_test.cpp
@@ -429,6 +429,22 @@
   EXPECT_LT(clock_now() - back, Span::millis(350));
 }
 
+// Guards against a discovery that answers slowly and is never heard (review/3): each watch was given up after
+// 1 s and opened anew with the same limit. A change counts as told 6 s after discovery had it.
+TEST(NodeRace, ADiscoveryThatAnswersSlowlyIsHeardInTime) {
+  for (const int delay_ms : {600, 1500, 3000}) {
+    Rig rig;
+    rig.registry.answer_after(Span::millis(delay_ms));
+    rig.registry.say("{broken");  // the watch that is served ends
+    EXPECT_TRUE(rig.logged("registry's watch opened anew"));
+    const Instant had = clock_now();
+    rig.registry.change("s-w1", rig.writer.address(), "decode", "Terminating");
+    EXPECT_TRUE(rig.logged("\"version\":6")) << delay_ms;
+    EXPECT_LT(clock_now() - had, Span::millis(6000)) << delay_ms;
+    EXPECT_TRUE(rig.usual("after"));
+  }
+}
+
 // What a watch misses counts as told 6 s after it fell silent: the next watch may do so too.
 TEST(NodeRace, AChangeIsHeardInTimeThoughTwoWatchesFallSilent) {
   for (const std::string first_bytes : {"", "{\"generation\":9,"}) {
