What is read ahead of a client is taken from the room of bodies, and given back

Found by reading the change before: each of hundreds of clients that pipeline could have 80 KiB read ahead, which nothing bounded together, and a read that brings nothing would have been made again at once. Change: the room is taken from that of bodies (a sixth of the memory); where there is none the client counts as unseen, and so it does where a read brings nothing. Room and memory are given back once the last request read ahead has been read. Interrupted reads are made again.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -120,6 +120,17 @@
   Instant made = net::clock_now();
   bool first = true;  // nothing was read yet
   std::size_t dropped = 0;
+  std::shared_ptr<void> ahead_room;  // for what was read ahead, as for bodies
+  bool may_read_ahead(const Limits& limits) {
+    if (!limits.room || ahead_room) return true;
+    ahead_room = BodyRoom::take(limits.room, buffer.max_size());
+    return ahead_room != nullptr;
+  }
+  void give_back_ahead_room() {
+    if (!ahead_room || buffer.size() > read_step_bytes) return;
+    buffer.shrink_to_fit();
+    ahead_room.reset();
+  }
 };
 
 ServerConnection::ServerConnection(net::Stream stream, const Limits& limits)
@@ -133,9 +144,12 @@
   for (;;) {
     if (stream_.peer_left()) return Client::Gone;
     if (!net::may_hide_hang_up(stream_.fd())) return Client::There;
-    if (buffer.size() + read_step_bytes > buffer.max_size()) return Client::Unseen;
+    if (buffer.size() + read_step_bytes > buffer.max_size() || !parts_->may_read_ahead(limits_))
+      return Client::Unseen;
     const auto room = buffer.prepare(read_step_bytes);
-    buffer.commit(stream_.read_now(room.data(), room.size()));
+    const std::size_t taken = stream_.read_now(room.data(), room.size());
+    if (taken == 0) return Client::Unseen;
+    buffer.commit(taken);
   }
 }
 
@@ -194,6 +208,7 @@
   stream_.set_deadline(by_whole(net::clock_now() + limits_.body, from, true));
   if (!parser.is_done()) bh::read(stream_, parts_->buffer, parser, ec);
   if (ec) return end_of();
+  parts_->give_back_ahead_room();
   out.received = net::clock_now() - stream_.received_ago().value_or(Span{});
   auto message = parser.release();
   out.method = std::string(message.method_string());
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -309,7 +309,7 @@
 }
 
 std::size_t Stream::read_now(void* to, std::size_t most) {
-  const ssize_t n = ::recv(fd_.get(), to, most, MSG_DONTWAIT);
+  const ssize_t n = retry_interrupted([&] { return ::recv(fd_.get(), to, most, MSG_DONTWAIT); });
   if (n <= 0) return 0;
   bytes_read_ += static_cast<std::size_t>(n);
   return static_cast<std::size_t>(n);
--- a/tests/program/crowd_memory_test.cpp
+++ b/tests/program/crowd_memory_test.cpp
@@ -168,5 +168,20 @@
   expect_memory_kept();
 }
 
+// What lies behind a request is read ahead, to see whether its client has left.
+TEST_F(CrowdMemory, PipelinesBehindRequestsInWork) {
+  for (auto* engine : rig.engines()) engine->pause(true);
+  std::string many;
+  for (int k = 0; k < 100; ++k) many += request("p" + std::to_string(k), "", std::string(4000, 'x'));
+  for (int k = 0; k < crowd; ++k) {
+    clients.push_back(rig.dial());
+    clients.back().set_deadline(clock_now() + Span::millis(20));  // what is not taken by then is not sent
+    rig.put(clients.back(), request("c" + std::to_string(k), "", "{}") + many);
+  }
+  clients.clear();
+  for (auto* engine : rig.engines()) engine->pause(false);
+  expect_memory_kept();
+}
+
 }  // namespace
 }  // namespace calicograde::node
