--- a/review/stand-2/rig.hpp
+++ b/review/stand-2/rig.hpp
@@ -545,6 +545,7 @@
 struct Answer {
   int status = 0;  // 0 = the connection ended, or the wait was over, with no answer
   bool whole = false, late = false, broken = false;
+  bool last = false;  // it says that its connection ends with it
   std::string body, retry_after;
   std::int64_t head_ms = 0, end_ms = 0;  // since the request was written
 };
@@ -566,6 +567,7 @@
   const auto head = read_head(link, end);
   if (!head) return out.broken = link.ended, out.late = !link.ended, out.end_ms = now_ms() - begun, out;
   out.status = head->status(), out.retry_after = head->of("retry-after"), out.head_ms = now_ms() - begun;
+  out.last = head->of("connection") == "close";
   if (head->of("transfer-encoding").empty()) {
     out.whole = read_bytes(link, static_cast<std::size_t>(std::atoll(head->of("content-length").c_str())), out.body, end);
     return out.end_ms = now_ms() - begun, out;
@@ -746,7 +748,7 @@
                  a.status, a.whole ? ", whole" : ", NOT whole", a.late ? ", wait over" : "",
                  a.broken ? ", connection ended" : "", static_cast<long long>(a.head_ms),
                  static_cast<long long>(a.end_ms), a.body.size());
-    if (!a.whole || link_.ended) link_.fd.close();
+    if (!a.whole || a.last || link_.ended) link_.fd.close();
     return a;
   }
   void leave() {
