A list of engines is bounded by its bytes, not by 4,096 entries

What callers saw: a front node that is restarted while 1,920 of 3,200 engines are replaced ends with status 2 ("known: too many instances") at each start; a running node passes over a whole list of that length and goes on sending to engines that drain.

Cause: parse_listing refused lists of over 4,096 entries. A list holds what is in service and what drains beside it: 5,120 entries here.

Change: the bound is 8 MiB of JSON, for a watch and for the list of a configuration, whose file may have 4 MiB of settings beside it. Reasons of entries that can't be read are kept for 32 of them. Files are read in steps of 64 KiB in place of one buffer of the largest size.

--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -19,7 +19,6 @@
 using log::Level;
 using net::clock_now;
 
-constexpr std::size_t longest_object = 4 << 20;
 constexpr int believed_after = 3;  // times that an older list is told, it is the registry that was set back
 
 }  // namespace
@@ -179,7 +178,7 @@
 
 // Until its end. False: what came was no watch.
 bool Follower::read_objects(http::ClientConnection& link) {
-  platform::Objects objects(longest_object);
+  platform::Objects objects(platform::most_listing_bytes);
   for (Instant last = clock_now();;) {
     std::string bytes;
     const BodyEnd end = link.read_body(bytes, last + rules_.silence);
@@ -223,6 +222,9 @@
 void Follower::take(const platform::Listing& listing, ListScope scope) {
   for (const auto& what : listing.skipped)
     core_.log().line(Level::Warn, "registry entry passed over", {{"what", what}});
+  if (listing.skipped_count > listing.skipped.size())
+    core_.log().line(Level::Warn, "registry entries passed over",
+                     {{"count", static_cast<std::int64_t>(listing.skipped_count)}});
   version_ = listing.version;
   FleetListed list;
   list.scope = scope, list.version = listing.version;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -78,7 +78,8 @@
 
 platform::NodeConfig read(const std::string& file) {
   std::vector<settings::Fault> faults;
-  const auto text = settings::read_file(file, faults);
+  const auto text =
+      settings::read_file(file, faults, settings::most_settings_bytes + platform::most_listing_bytes);
   if (!text) {
     const std::string what = faults.empty() ? "can't be read" : faults.front().what;
     if (::access(file.c_str(), R_OK) == 0) throw platform::ConfigUnreadable(what);
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "platform/json.hpp"
+#include "platform/registry_json.hpp"
 
 namespace calicograde::platform {
 namespace {
@@ -106,7 +107,7 @@
     c.give_up.push_back(time_of(values, "classes." + std::to_string(k) + ".give_up"));
   c.drain_grace = time_of(values, "rules.drain_grace");
   if (const Json* known = at(j, "known")) {
-    auto listing = parse_listing(known->dump(), t);
+    auto listing = read_listing(*known, t);
     if (const auto* wrong = std::get_if<std::string>(&listing))
       bad("known", *wrong, "give the registry's list, or none");
     c.known = std::move(std::get<Listing>(listing));
--- a/src/platform/registry.cpp
+++ b/src/platform/registry.cpp
@@ -6,11 +6,13 @@
 #include <set>
 
 #include "platform/json.hpp"
+#include "platform/registry_json.hpp"
 
 namespace calicograde::platform {
 namespace {
 
-constexpr std::size_t most_engines = 4096;
+// An entry that can't be read costs a line of the log.
+constexpr std::size_t most_skipped_reasons = 32;
 
 std::optional<std::size_t> place_of(const std::vector<std::string>& names, const std::string& name) {
   const auto it = std::find(names.begin(), names.end(), plain_name(name));
@@ -57,14 +59,12 @@
   return id;
 }
 
-std::variant<Listing, std::string> parse_listing(std::string_view text, const Decoded& names) {
-  const Json j = Json::parse(text, nullptr, false);
+std::variant<Listing, std::string> read_listing(const Json& j, const Decoded& names) {
   if (!j.is_object()) return std::string("no JSON object");
   const Json* list = at(j, "instances");
   const double version = number_at(j, "generation", -1);
   if (!(version >= 0 && version < 9e15)) return std::string("generation is missing");
   if (!list || !list->is_array()) return std::string("instances is missing");
-  if (list->size() > most_engines) return std::string("too many instances");
   Listing out;
   out.version = static_cast<std::uint64_t>(version);
   const Json* whole = at(j, "reset");
@@ -72,10 +72,19 @@
   for (const Json& entry : *list) {
     Listed e;
     const std::string wrong = read_entry(entry, names, e);
-    if (wrong.empty()) out.engines.push_back(std::move(e));
-    else out.skipped.push_back((e.instance.empty() ? "?" : e.instance) + ": " + wrong);
+    if (wrong.empty()) {
+      out.engines.push_back(std::move(e));
+      continue;
+    }
+    ++out.skipped_count;
+    if (out.skipped.size() < most_skipped_reasons)
+      out.skipped.push_back((e.instance.empty() ? "?" : e.instance) + ": " + wrong);
   }
   return out;
 }
 
+std::variant<Listing, std::string> parse_listing(std::string_view text, const Decoded& names) {
+  return read_listing(Json::parse(text, nullptr, false), names);
+}
+
 }  // namespace calicograde::platform
--- a/src/platform/registry.hpp
+++ b/src/platform/registry.hpp
@@ -25,8 +25,12 @@
   std::uint64_t version = 0;
   bool whole = false;  // it replaces what was known
   std::vector<Listed> engines;
-  std::vector<std::string> skipped;  // entries that could not be understood, and why
+  std::vector<std::string> skipped;  // the first entries that could not be understood, and why
+  std::size_t skipped_count = 0;     // all of those
 };
+// The longest list, as JSON. Its entries are not counted: a list holds the engines that are in service and,
+// for as long as they drain, those before them.
+inline constexpr std::size_t most_listing_bytes = 8 << 20;
 // One object of the registry, or what is wrong with it. Entries of unknown kinds, zones or states are
 // skipped.
 std::variant<Listing, std::string> parse_listing(std::string_view json, const Decoded& names);
--- a/src/settings/xml.cpp
+++ b/src/settings/xml.cpp
@@ -134,21 +134,26 @@
   return out;
 }
 
-std::optional<std::string> read_file(const std::string& file, std::vector<Fault>& faults) {
+std::optional<std::string> read_file(const std::string& file, std::vector<Fault>& faults,
+                                     std::size_t most_bytes) {
+  constexpr std::size_t step_bytes = 64 << 10;
   std::ifstream in(file, std::ios::binary);
   std::string text;
-  if (in) {
-    text.resize((4 << 20) + 1);
-    in.read(text.data(), static_cast<std::streamsize>(text.size()));
-    text.resize(static_cast<std::size_t>(in.gcount()));
+  while (in && text.size() <= most_bytes) {
+    const std::size_t before = text.size();
+    text.resize(before + step_bytes);
+    in.read(text.data() + before, static_cast<std::streamsize>(step_bytes));
+    text.resize(before + static_cast<std::size_t>(in.gcount()));
   }
-  if (!in.eof() || (text.empty() && !in)) {
+  const bool whole = in.eof() && text.size() <= most_bytes;
+  if (!whole || (text.empty() && !in)) {
     if (in.bad())
       faults.push_back({file, 0, "cannot be read whole: the disk failed", "check the disk, then try again"});
     else if (!in.is_open())
       faults.push_back(
           {file, 0, std::string("cannot be read: ") + std::strerror(errno), "check the path and its rights"});
-    else if (text.size() > (4 << 20)) faults.push_back({file, 0, "is larger than 4 MiB", "split it"});
+    else if (text.size() > most_bytes)
+      faults.push_back({file, 0, "is larger than " + std::to_string(most_bytes >> 20) + " MiB", "split it"});
     else if (text.empty()) faults.push_back({file, 0, "is empty or no file", "name a file of settings"});
     if (!faults.empty()) return std::nullopt;
   }
--- a/src/settings/xml.hpp
+++ b/src/settings/xml.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,7 +46,9 @@
 // lines. None if the text is no XML at all. External entities are not followed.
 std::optional<Element> read_xml(const std::string& file, std::string_view text, std::string_view schema,
                                 std::vector<Fault>& faults);
-// The whole of a file; a fault if it can't be read or is larger than 4 MiB.
-std::optional<std::string> read_file(const std::string& file, std::vector<Fault>& faults);
+inline constexpr std::size_t most_settings_bytes = 4 << 20;
+// The whole of a file; a fault if it can't be read or is larger than `most_bytes`.
+std::optional<std::string> read_file(const std::string& file, std::vector<Fault>& faults,
+                                     std::size_t most_bytes = most_settings_bytes);
 
 }  // namespace calicograde::settings
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -141,6 +141,35 @@
     EXPECT_TRUE(std::holds_alternative<std::string>(parse_listing(text, names))) << text;
 }
 
+std::string listing_of(int engines) {
+  std::string entries;
+  for (int k = 0; k < engines; ++k)
+    entries += (k ? "," : "") + (R"({"instanceId":"s-)" + std::to_string(k) +
+               R"(","hostPort":"127.0.0.1:7","zone":"hall 2","machineType":"decode","lifecycle":"Ready"})");
+  return R"({"generation":9,"reset":true,"instances":[)" + entries + "]}";
+}
+
+// Guards against a list that is refused for its length: it holds the engines in service and those that drain.
+TEST(Registry, AListOfAFleetThatIsReplacedIsTakenWhole) {
+  const auto names = read_config(good).told;
+  constexpr int fleet = 3200, generations = 4;
+  const auto parsed = parse_listing(listing_of(generations * fleet), names);
+  ASSERT_TRUE(std::holds_alternative<Listing>(parsed)) << std::get<std::string>(parsed);
+  EXPECT_EQ(std::get<Listing>(parsed).engines.size(), std::size_t{generations} * fleet);
+  EXPECT_TRUE(std::get<Listing>(parsed).skipped.empty());
+}
+
+TEST(Registry, OfManyEntriesThatCannotBeReadTheReasonsOfAFewAreKept) {
+  constexpr std::size_t entries = 100000;
+  std::string many = "3";
+  for (std::size_t k = 1; k < entries; ++k) many += ",3";
+  const auto parsed =
+      parse_listing(R"({"generation":9,"instances":[)" + many + "]}", read_config(good).told);
+  ASSERT_TRUE(std::holds_alternative<Listing>(parsed));
+  EXPECT_EQ(std::get<Listing>(parsed).skipped_count, entries);
+  EXPECT_LT(std::get<Listing>(parsed).skipped.size(), 100u);
+}
+
 // Spans are of real time, whatever the wall clock says: it may be off by an hour either way.
 TEST(StartTimes, AWallClockThatIsOffMovesNoStartBeyondWhatWasHeard) {
   constexpr Span hour = Span::millis(3600000), true_offset = Span::millis(1700000000000);
