A refusal of what was not read says that its connection ends

Cause: Server::refuse wrote the answer with the keep_alive of the request before it; a refusal of 500 or more then counted as one that the connection outlives, and the server ended it all the same.

Change: Server::refuse says that the connection ends, whatever stood before.

--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -178,6 +178,7 @@
 
 void Server::refuse(http::ReadEnd end, Visit& visit) {
   Protocol& first = *protocols_.front();
+  visit.keep_alive = false;  // what follows on this connection is not read
   switch (end) {
     case http::ReadEnd::HeaderTooLarge: return first.refuse(431, "the request's head is too large", visit);
     case http::ReadEnd::BodyTooLarge:
