A decode engine that gives no place is used where no other is left to wait for

What callers saw: with one decode engine in service, idle and healthy, that answers a call for a place late or with "no", each request was read six times and refused after some 2 s.

Cause: a place refused, or without an answer 20 ms after it was asked for, made its engine count as full for the request, be it the only one; and the last resort came 60 ms before the pin limit, while the state is released at 0.8 of it, so that a front node never reached it.

Change: a state waits only for sound engines that were not asked in vain; where there are none it goes to the one that gave no place. Both times, of the release and of the last resort, come from routing/reservations.hpp; at the last resort sound engines come before those that failed or are doubted. The stand-in answers places as a test says.

--- a/src/lab/platform_standin.cpp
+++ b/src/lab/platform_standin.cpp
@@ -147,6 +147,24 @@
   resumed_.notify_all();
 }
 
+void PlatformEngine::reply_to_places(const PlaceReply& reply) {
+  const std::lock_guard lock(mutex_);
+  place_reply_ = reply;
+}
+
+bool PlatformEngine::answer_place(http::ServerConnection& c, const std::string& id) {
+  std::optional<PlaceReply> reply;
+  {
+    const std::lock_guard lock(mutex_);
+    reply = place_reply_;
+  }
+  const bool may_be_held = !reply || reply->status == 200 || reply->status == 204;
+  const bool held = may_be_held && hall_.grant(id, name_);
+  if (!reply) return c.respond(held ? 200 : 204, {}, "", true);
+  usleep(static_cast<useconds_t>(reply->after.as_micros()));
+  return !reply->ends_connection && c.respond(reply->status, {}, "", true);
+}
+
 Act PlatformEngine::next_act() {
   const std::lock_guard lock(mutex_);
   if (times_ <= 0) return Act::Usual;
@@ -172,7 +190,7 @@
     hall_.add({name_, r.method, r.target, id, r.body, r.headers});
     bool on = true;
     if (state && r.method == "DELETE") hall_.let_go(id), on = c.respond(204, {}, "", true);
-    else if (state) on = c.respond(hall_.grant(id, name_) ? 200 : 204, {}, "", true);
+    else if (state) on = answer_place(c, id);
     else on = complete(r, c, id);
     if (!on) return;
   }
@@ -228,6 +246,7 @@
   }
   // A moment, in which a place for it can be asked for.
   for (int k = 0; reader_ && k < 100 && hall_.count("POST", "/state/" + id) == 0; ++k) usleep(1000);
+  if (reader_) usleep(static_cast<useconds_t>(read_micros_));
   switch (act) {
     case Act::Error: return c.respond(500, {}, "{}", true);
     case Act::Full: return c.respond(503, {{"Not-Started", "1"}}, "", true);
--- a/src/lab/platform_standin.hpp
+++ b/src/lab/platform_standin.hpp
@@ -112,6 +112,15 @@
   void next(Act act, int times = 1);
   void events(int count) { events_ = count; }
   void pause_between_events(Span pause) { event_pause_micros_ = pause.as_micros(); }
+  // What calls for a place are told from now on, and how much later; `ends_connection`: nothing.
+  struct PlaceReply {
+    int status = 200;
+    Span after;
+    bool ends_connection = false;
+  };
+  void reply_to_places(const PlaceReply& reply);
+  // Of a prefill engine, from the call for a place on, or where none comes.
+  void read_takes(Span time) { read_micros_ = time.as_micros(); }
   // While paused, requests that have come wait before they are dealt with.
   void pause(bool on);
   int waiting() const { return waiting_; }  // of those
@@ -121,6 +130,7 @@
 
  private:
   void serve(net::Stream stream);
+  bool answer_place(http::ServerConnection& c, const std::string& id);
   bool complete(const http::Request& r, http::ServerConnection& c, const std::string& id);
   // Until the other side takes no more. Always false: the connection is of no use then.
   bool send_endlessly(net::Stream& stream, std::string_view start, std::string_view piece);
@@ -130,11 +140,12 @@
   const bool reader_;
   PlatformHall& hall_;
   std::atomic<int> events_, connections_ = 0, waiting_ = 0;
-  std::atomic<std::int64_t> event_pause_micros_ = 0;
+  std::atomic<std::int64_t> event_pause_micros_ = 0, read_micros_ = 0;
   std::atomic<std::size_t> most_endless_bytes_ = 0;
   std::mutex mutex_;
   std::condition_variable resumed_;
   bool paused_ = false;
+  std::optional<PlaceReply> place_reply_;  // none = by what is held
   Act act_ = Act::Usual;
   int times_ = 0;
   LoopbackServer server_;
--- a/src/routing/reservations.cpp
+++ b/src/routing/reservations.cpp
@@ -139,7 +139,7 @@
   const bool left =
       std::any_of(entries_.begin(), entries_.end(), [](const Entry& e) { return e.release_tried; });
   if (end == ReleaseEnd::NotTaken) not_before_ = now + pin_limit * release_again_part;
-  else if (left) not_before_ = ordered + pin_limit * release_due_part;
+  else if (left) not_before_ = ordered + release_due_after(pin_limit);
   unwanted_ = unwanted_ || left;
 }
 
@@ -168,7 +168,7 @@
 std::optional<Instant> Reservations::release_due(Span pin_limit) const {
   const auto since = reserved_since();
   if (!since || release_is_out()) return std::nullopt;
-  return std::max(*since + pin_limit * release_due_part, not_before_);
+  return std::max(*since + release_due_after(pin_limit), not_before_);
 }
 
 std::optional<Instant> Reservations::probe_due(Span pin_limit) const {
--- a/src/routing/reservations.hpp
+++ b/src/routing/reservations.hpp
@@ -35,6 +35,12 @@
 // Of the pin limit: so much later what is reserved is released, whatever is out without an answer of its own.
 // The rest serves the release.
 constexpr double release_due_part = 0.8;
+inline Span release_due_after(Span pin_limit) { return pin_limit * release_due_part; }
+// A state that no decode engine is free for goes to one that is not, so long before it would be released.
+constexpr Span last_resort_before_release = Span::millis(60);
+inline Span last_resort_after(Span pin_limit) {
+  return release_due_after(pin_limit) - last_resort_before_release;
+}
 // Of the pin limit: so much later the engine of a read is probed where its answer is enough, and again after
 // each pause, until the read is shown to be out.
 constexpr double probe_due_part = 0.4, probe_again_part = 0.1;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -153,7 +153,7 @@
     if (e.held) return;
     close(engines_[*f.place_at], f, full_memory);
     if (f.phase != Phase::Reading || f.places >= places_asked) return;
-    const auto next = next_writer(f, engine(f.sends.back().engine), false);
+    const auto next = next_writer(f, engine(f.sends.back().engine), WriterChoice::Free);
     if (next) book_writer(f, *next), hold_place(f);
   }
 
@@ -347,7 +347,7 @@
     if (s_.pin_limit <= Span{}) return now_;
     const Send& read = f.sends.back();
     const double seconds = read.work / rate(engines_[read.engine].entry.kind) + unseen_wait_;
-    const Span before_end = s_.pin_limit * (release_due_part * place_before_read_ends);
+    const Span before_end = release_due_after(s_.pin_limit) * place_before_read_ends;
     return now_ + std::max(Span{}, Span::from_seconds(seconds) - before_end);
   }
 
@@ -461,25 +461,47 @@
     // After an engine that gave no sign there is no time for another that may give none.
     const bool silent_in_this_hold = f.no_sign_since && *f.no_sign_since >= f.held_since;
     if (silent_in_this_hold && pin_is_near(f) && !f.out_at(false)) return back_to_queue(f);
-    auto best = next_writer(f, engine(*f.state_at), false);
+    const Engine* from = engine(*f.state_at);
+    auto best = next_writer(f, from, WriterChoice::Free);
+    if (!best && (pin_is_near(f) || !another_may_become_free(f)))
+      best = next_writer(f, from, WriterChoice::Sound);
     // Nor is anything gained by waiting where no engine is left that has not failed.
     const bool nobody_else = f.no_sign_since && !merely_full(f, false);
-    if (!best && (nobody_else || pin_is_near(f))) best = next_writer(f, engine(*f.state_at), true);
+    if (!best && (nobody_else || pin_is_near(f))) best = next_writer(f, from, WriterChoice::Any);
     if (!best) return;  // tried again by timer until the pin limit is near
     book_writer(f, *best);
     f.phase = Phase::Answering;
     send(f, *best, false);
   }
 
-  std::optional<EngineId> next_writer(const Inference& f, const Engine* from, bool any) {
+  // A place that was refused, or not answered for while the read ran, says that the engine is not free at once.
+  bool place_refused(const Inference& f, const EngineId& id) const {
+    return f.place_at == id && !f.place_held.value_or(now_ - f.place_asked < tick);
+  }
+
+  // Whether a state that no engine is free for waits for one. The engine that gave no place is not waited for:
+  // the attempt is needed there all the same, and has its turn there.
+  bool another_may_become_free(const Inference& f) const {
+    return std::any_of(engines_.begin(), engines_.end(), [&](const auto& known) {
+      const auto& [id, e] = known;
+      return e.writes && is_sound(f, id, e) && !place_refused(f, id);
+    });
+  }
+
+  enum class WriterChoice {
+    Free,   // sound, and not known to be full
+    Sound,  // full ones too
+    Any     // those that failed the request, or are doubted, as well
+  };
+  std::optional<EngineId> next_writer(const Inference& f, const Engine* from, WriterChoice choice) {
+    const bool any = choice == WriterChoice::Any;
     const auto measure = [&](const EngineId& id, const Engine& e) {
       if (!e.writes || !usable(f, id, e, any)) return never;
       // Nor is it out while its connection does not come up; a send out there may itself wait for one.
       if (now_ >= e.linked_until && !has_time_to_connect(f)) return never;
-      // A place that nobody answered for while the read ran counts as refused: nobody hears there.
-      const bool refused = f.place_at == id && !f.place_held.value_or(now_ - f.place_asked < tick);
+      const bool refused = place_refused(f, id);
       const bool keeps = f.writer == id && !refused && !e.doubted && !f.failed_at.contains(id);
-      if (!any && !keeps && (refused || writer_full(e, f))) return never;
+      if (choice == WriterChoice::Free && !keeps && (refused || writer_full(e, f))) return never;
       // Where one engine gave no sign, others may not run either: those that lately did come first.
       const double unheard = f.no_sign_since && e.last_byte < *f.no_sign_since ? unheard_seconds : 0;
       return keeps ? -1 : writer_cost(e) + way_cost(from, e) + unheard;
@@ -762,10 +784,12 @@
   bool merely_full(const Inference& f, bool read) const {
     return std::any_of(engines_.begin(), engines_.end(), [&](const auto& known) {
       const auto& [id, e] = known;
-      const bool sound = e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(id);
-      return sound && (read ? e.reads : e.writes);
+      return is_sound(f, id, e) && (read ? e.reads : e.writes);
     });
   }
+  static bool is_sound(const Inference& f, const EngineId& id, const Engine& e) {
+    return e.lifecycle == Lifecycle::Ready && !e.doubted && !f.failed_at.contains(id);
+  }
 
   // Rule 2: sends that may have run bind the further ones to their group and window.
   bool effect_allows(const Inference& f, const Engine& to) const {
@@ -1035,7 +1059,9 @@
     send(f, *best, true);
   }
 
-  bool pin_is_near(const Inference& f) const { return now_ - f.held_since > s_.pin_limit - tick * 3; }
+  bool pin_is_near(const Inference& f) const {
+    return now_ - f.held_since > last_resort_after(s_.pin_limit);
+  }
 
   double least_at_readers(auto measure) {
     const auto sound = [&](const EngineId&, const Engine& e) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "routing/cheapest_pair.hpp"
+#include "routing/reservations.hpp"
 #include "routing/tables.hpp"
 #include "routing/view.hpp"
 #include "world.hpp"
@@ -666,6 +667,27 @@
   EXPECT_EQ(w.sends(1), 1u);
 }
 
+// Guards against a request that is read again and again while the only writer in service gives no place.
+TEST(Router, TheOnlyWriterIsUsedThoughItGaveNoPlace) {
+  for (const bool answers : {true, false}) {
+    World w(settings_with_places());
+    w.list({entry(1, 0), entry(2, 1)});
+    w.arrive(1);
+    ASSERT_EQ(w.count<HoldPlace>(), 1);
+    if (answers) w.happen(PlaceAnswered{1, 0, w.sent(1, 0).engine, false});
+    w.pass(ms(60));
+    w.end(1, 0, EndedAs::ReadDone);
+    ASSERT_EQ(w.sends(1), 2u) << answers;
+    EXPECT_EQ(w.sent(1, 1).engine, entry(2, 1).engine);
+    EXPECT_EQ(w.broken, "");
+  }
+}
+
+TEST(Router, TheLastResortOfAStateComesBeforeItsRelease) {
+  for (const int limit : {100, 200, 500, 5000})
+    EXPECT_LT(last_resort_after(ms(limit)), release_due_after(ms(limit))) << limit;
+}
+
 // Found on a day with crashes: the place's holder failed and the next writer had no state.
 TEST(Router, APlaceAtAFailedWriterIsLetGoBeforeTheNextRead) {
   World w(settings_with_places());
