Short requests without a body are answered however full the room of requests is

What callers would have seen: since heads count in the room, a question whether the node is ready could be refused for want of room (found by reading; bodies of no bytes took none before).

Change: a request without a body and with a head of 4 KiB at most takes no room.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -214,8 +214,11 @@
   // A body that is declared too large is told so before it is sent.
   if (const auto n = parser.content_length(); n && *n > limits_.body_bytes) return ReadEnd::BodyTooLarge;
   std::shared_ptr<void> room;
-  if (limits_.room) {
-    const auto declared = parser.content_length();
+  const auto declared = parser.content_length();
+  const bool without_body = !parser.chunked() && declared.value_or(0) == 0;
+  // A short question, such as whether this server is ready, is answered however much is in work.
+  const bool is_short = without_body && head_bytes <= read_step_bytes;
+  if (limits_.room && !is_short) {
     const std::size_t bytes =
         declared ? static_cast<std::size_t>(*declared) : (parser.chunked() ? limits_.body_bytes : 0);
     room = RequestRoom::take(limits_.room, request_bytes(head_bytes, parser.get().base(), bytes));
--- a/tests/program/request_room_test.cpp
+++ b/tests/program/request_room_test.cpp
@@ -14,8 +14,8 @@
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// Guards against a connection that ends behind a 503 which did not say so: a client that sends its next request
-// on it gets no answer.
+// Guards against a connection that ends behind a 503 which did not say so: a client that sends its next
+// request on it gets no answer.
 TEST(RequestRoom, ARefusalForWantOfRoomSaysThatTheConnectionEnds) {
   Rig rig(little_memory);
   std::vector<net::Stream> half_requests;
@@ -25,6 +25,9 @@
     half.resize(half.size() / 2);
     rig.put(half_requests.back(), half);
   }
+  EXPECT_TRUE(until([&] { return rig.ask("refused", 2000, std::string(250 << 10, 'x')).status == 503; }));
+  EXPECT_EQ(rig.raw("GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").substr(0, 12),
+            "HTTP/1.1 200");
   int refused = 0;
   for (auto& client : half_requests) {
     const std::string said = rig.drain(client);
